--- /dev/null
+++ b/bergamotmount/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that fill the ports: HTTP on the outer sides."""
--- /dev/null
+++ b/bergamotmount/admission.py
@@ -0,0 +1,211 @@
+"""Admission to one backend server: a limit and a short ordered queue.
+
+Requests enter in order of rank. When the queue is full, the least important
+entry is refused in favour of a more important one. An entry whose deadline
+can't be met any more is refused at once, without waiting for the deadline::
+
+    refusal = await admission.enter(rank, deadline_ms)
+    if refusal is None:
+        try:
+            ...
+        finally:
+            admission.leave()
+"""
+
+import asyncio
+import bisect
+import dataclasses
+import itertools
+import random
+
+from bergamotmount.clock import Clock
+from bergamotmount.limit import ConcurrencyLimit, ServiceTime
+from bergamotmount.reasons import RefusalReason
+from bergamotmount.threshold import ThresholdController
+
+#: Queue places for each slot of the limit.
+QUEUE_PER_SLOT = 0.5
+
+#: Least number of queue places.
+MIN_QUEUE = 4
+
+#: Least wait that a refused caller is advised, in milliseconds.
+MIN_RETRY_AFTER_MS = 100
+
+#: Greatest wait that a refused caller is advised, in milliseconds.
+MAX_RETRY_AFTER_MS = 5000
+
+_PERMILLE = 1000
+
+
+@dataclasses.dataclass(slots=True, order=True)
+class _Waiter:
+    rank: float
+    sequence: int
+    deadline_ms: float = dataclasses.field(compare=False)
+    admitted: asyncio.Future = dataclasses.field(compare=False)
+
+
+class Admission:
+    """Decides which requests go to the backend server, and when."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        limit: ConcurrencyLimit,
+        controller: ThresholdController,
+        rng: random.Random,
+    ) -> None:
+        """Guard the server that ``limit`` belongs to."""
+        self.service_time = ServiceTime(clock)
+        self.limit = limit
+        self.in_flight = 0
+        self._clock = clock
+        self._controller = controller
+        self._rng = rng
+        self._waiters: list[_Waiter] = []
+        self._sequence = itertools.count()
+
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait."""
+        return len(self._waiters)
+
+    @property
+    def load_permille(self) -> int:
+        """Requests in flight and waiting, in thousandths of the limit."""
+        work = self.in_flight + self.queued
+        return _PERMILLE * work // max(self.limit.current(), 1)
+
+    async def enter(
+        self,
+        rank: float,
+        deadline_ms: float,
+    ) -> RefusalReason | None:
+        """Wait for a place; return ``None`` when admitted, else the reason.
+
+        ``deadline_ms`` is on this admission's clock. Whoever is admitted
+        calls :meth:`leave` once. A task cancelled while it waits leaves the
+        queue by itself.
+        """
+        self._controller.arrived(rank, self._queue_share())
+        if not self.limit.current():
+            return RefusalReason.NOT_SERVING
+        if not self._can_finish(deadline_ms, self._ahead_of(rank)):
+            return self._refused(RefusalReason.DEADLINE_TOO_CLOSE)
+        if self.in_flight < self.limit.current() and not self._waiters:
+            self.in_flight += 1
+            return None
+        if not self._make_room(rank):
+            return self._refused(RefusalReason.QUEUE_FULL)
+        return await self._wait(rank, deadline_ms)
+
+    def leave(self) -> None:
+        """Give the place back and admit the next requests in order."""
+        self.in_flight -= 1
+        self._controller.completed(self._queue_share())
+        self.admit_waiting()
+
+    def admit_waiting(self) -> None:
+        """Admit waiting requests as far as the limit allows."""
+        while self._waiters and self.in_flight < self.limit.current():
+            waiter = self._waiters.pop(0)
+            if waiter.admitted.done():
+                continue
+            if self._can_finish(waiter.deadline_ms, 0):
+                self.in_flight += 1
+                waiter.admitted.set_result(None)
+            else:
+                reason = self._refused(RefusalReason.DEADLINE_TOO_CLOSE)
+                waiter.admitted.set_result(reason)
+
+    def refuse_waiting(self, reason: RefusalReason) -> None:
+        """Refuse everything that waits, for instance when draining."""
+        waiters = self._waiters
+        self._waiters = []
+        for waiter in waiters:
+            if not waiter.admitted.done():
+                waiter.admitted.set_result(reason)
+
+    def retry_after_ms(self) -> int:
+        """Return when a refused caller should come back, with jitter.
+
+        The advice is the time to work off what is in hand, stretched by how
+        far the threshold is closed.
+        """
+        work = self.in_flight + self.queued + 1
+        rounds = work / max(self.limit.current(), 1)
+        drain_ms = rounds * self.service_time.current_ms()
+        advice_ms = drain_ms * self._controller.pressure()
+        bounded_ms = min(max(advice_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+        return int(bounded_ms * self._rng.uniform(1, 2))
+
+    async def _wait(
+        self,
+        rank: float,
+        deadline_ms: float,
+    ) -> RefusalReason | None:
+        admitted = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(rank, next(self._sequence), deadline_ms, admitted)
+        bisect.insort(self._waiters, waiter)
+        self.admit_waiting()
+        try:
+            async with self._clock.timeout(deadline_ms - self._clock.now_ms()):
+                return await admitted
+        except TimeoutError:
+            self._forget(waiter)
+            return self._refused(RefusalReason.DEADLINE_TOO_CLOSE)
+        except asyncio.CancelledError:
+            self._forget(waiter)
+            raise
+
+    def _forget(self, waiter: _Waiter) -> None:
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+        elif _was_admitted(waiter.admitted):
+            self.leave()
+
+    def _make_room(self, rank: float) -> bool:
+        if len(self._waiters) < self._queue_bound():
+            return True
+        last = self._waiters[-1]
+        if last.rank <= rank:
+            return False
+        self._waiters.pop()
+        if not last.admitted.done():
+            last.admitted.set_result(self._refused(RefusalReason.EVICTED))
+        return True
+
+    def _refused(self, reason: RefusalReason) -> RefusalReason:
+        self._controller.refused()
+        return reason
+
+    def _ahead_of(self, rank: float) -> int:
+        if self.in_flight < self.limit.current():
+            return 0
+        ahead = bisect.bisect_right(
+            self._waiters,
+            rank,
+            key=lambda waiter: waiter.rank,
+        )
+        return ahead + 1
+
+    def _can_finish(self, deadline_ms: float, ahead: int) -> bool:
+        service_ms = self.service_time.current_ms()
+        wait_ms = ahead * service_ms / max(self.limit.current(), 1)
+        finish_ms = self._clock.now_ms() + wait_ms + service_ms
+        return finish_ms < deadline_ms
+
+    def _queue_bound(self) -> int:
+        return max(MIN_QUEUE, int(self.limit.current() * QUEUE_PER_SLOT))
+
+    def _queue_share(self) -> float:
+        return len(self._waiters) / self._queue_bound()
+
+
+def _was_admitted(admitted: asyncio.Future) -> bool:
+    return (
+        admitted.done()
+        and not admitted.cancelled()
+        and admitted.result() is None
+    )
--- /dev/null
+++ b/bergamotmount/egress.py
@@ -0,0 +1,468 @@
+"""Egress: takes requests from callers and sends them to backend servers.
+
+A request becomes one call, and after a failure perhaps more: the egress picks
+a server, lends it retry tokens, judges the reply and decides on a retry. What
+it answers is true whatever was lost: "not run" is said only when no attempt
+can have run::
+
+    outcome = await egress.call(Request('billhouse', 'invoice', body=order))
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable, Iterator
+
+from bergamotmount.clock import Clock
+from bergamotmount.context import Context, InHand
+from bergamotmount.counters import Counters
+from bergamotmount.door import RETRY_AFTER_MS, Door
+from bergamotmount.member import Member
+from bergamotmount.membership import Members
+from bergamotmount.messages import Answer, Call
+from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
+from bergamotmount.policy import Operation, Policy
+from bergamotmount.ports import Lost, NotSent, PeerTransport, Reply
+from bergamotmount.rank import rank_of
+from bergamotmount.reasons import (
+    REFUSED_BY_LOAD,
+    NoRetryReason,
+    RefusalReason,
+    RetryReason,
+    UnknownReason,
+)
+from bergamotmount.retry import RetryRatio, backoff_ms
+from bergamotmount.routing import Router
+from bergamotmount.threshold import ThresholdView
+from bergamotmount.ticketissuer import TicketIssuer
+from bergamotmount.tokens import RetryPool
+
+#: Deepest chain of calls that is served.
+MAX_DEPTH = 32
+
+_ROLE = 'egress'
+_ROOT_BITS = 96
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """What a caller asks for.
+
+    ``deadline_ms`` is the time that the caller grants from now on, ``None``
+    for the operation's own; ``level`` may only lower the importance that the
+    operation has by policy. ``parent`` is the key of the request on whose
+    behalf a backend server calls, empty for an outside caller.
+    """
+
+    service: str
+    operation: str
+    method: str = 'POST'
+    headers: list[str] = dataclasses.field(default_factory=list)
+    body: bytes = b''
+    deadline_ms: float | None = None
+    level: int = 0
+    ticket: str = ''
+    parent: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Retry:
+    reason: RetryReason
+    outcome: Outcome
+    same_home: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempts:
+    """The attempts at one call."""
+
+    request: Request
+    context: Context
+    server: Member | None = None
+    ticket: str = ''
+    tries: int = 0
+    may_have_run: bool = False
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def has_callers_ticket(self) -> bool:
+        return bool(self.request.ticket)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EgressParts:
+    """Parts that an egress works with.
+
+    ``policy`` returns the policy in force, ``view`` keeps what answers tell
+    of thresholds, ``in_hand`` knows the parents of child calls.
+    """
+
+    members: Members
+    router: Router
+    transport: PeerTransport
+    issuer: TicketIssuer
+    door: Door
+    view: ThresholdView
+    in_hand: InHand
+    policy: Callable[[], Policy]
+
+
+class Egress:
+    """Serves callers of this node, outside ones and the own server."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        parts: EgressParts,
+        counters: Counters,
+        rng: random.Random,
+    ) -> None:
+        """Send calls with the given parts; ``rng`` spreads the retries."""
+        self.open_calls = 0
+        self._clock = clock
+        self._parts = parts
+        self._counters = counters
+        self._rng = rng
+        self._attempt_ids = itertools.count(1)
+        self._ratio_by_service: dict[str, RetryRatio] = {}
+
+    async def call(self, request: Request) -> Outcome:
+        """Return the outcome of a request.
+
+        Cancelling the task cancels the request and all calls below it.
+        """
+        self.open_calls += 1
+        try:
+            outcome = await self._call(request)
+        finally:
+            self.open_calls -= 1
+        match outcome:
+            case NotRun(reason):
+                self._counters.refused(_ROLE, reason)
+            case Unknown(reason):
+                self._counters.unknown(_ROLE, reason)
+        return outcome
+
+    def count_refusal(self, reason: RefusalReason) -> None:
+        """Count a request that was refused before it could be understood."""
+        self._counters.refused(_ROLE, reason)
+
+    async def _call(self, request: Request) -> Outcome:
+        operation = self._find_operation(request)
+        if isinstance(operation, NotRun):
+            return operation
+        parent = None
+        if request.parent:
+            parent = self._parts.in_hand.get(request.parent)
+            if parent is None:
+                return NotRun(RefusalReason.UNKNOWN_PARENT)
+        context = self._make_context(request, operation, parent)
+        refusal = self._check(request, context, parent)
+        if refusal is not None:
+            return refusal
+        if parent is None:
+            return await self._attempt_all(_Attempts(request, context))
+        with _as_child(parent):
+            return await self._attempt_all(_Attempts(request, context))
+
+    def _find_operation(self, request: Request) -> Operation | NotRun:
+        operation_by_name = self._parts.policy().operation_by_name
+        if not operation_by_name:
+            return NotRun(RefusalReason.NO_POLICY, RETRY_AFTER_MS)
+        operation = operation_by_name.get((request.service, request.operation))
+        return operation or NotRun(RefusalReason.UNKNOWN_OPERATION)
+
+    def _make_context(
+        self,
+        request: Request,
+        operation: Operation,
+        parent: Context | None,
+    ) -> Context:
+        granted_ms = float(operation.timeout_ms)
+        if request.deadline_ms is not None:
+            granted_ms = min(granted_ms, request.deadline_ms)
+        deadline_ms = self._clock.now_ms() + granted_ms
+        level = max(operation.level, request.level)
+        if parent is None:
+            root = f'{self._rng.getrandbits(_ROOT_BITS):x}'
+            rank = rank_of(level, root)
+            pool = RetryPool(self._parts.policy().retries.per_request)
+            depth = 1
+        else:
+            root = parent.root
+            rank = min(parent.rank, rank_of(level, root))
+            deadline_ms = min(deadline_ms, parent.deadline_ms)
+            pool = parent.pool
+            depth = parent.depth + 1
+        return Context(
+            root=root,
+            rank=rank,
+            deadline_ms=deadline_ms,
+            pool=pool,
+            service=request.service,
+            operation=request.operation,
+            idempotent=operation.may_repeat,
+            depth=depth,
+        )
+
+    def _check(
+        self,
+        request: Request,
+        context: Context,
+        parent: Context | None,
+    ) -> NotRun | None:
+        if context.deadline_ms <= self._clock.now_ms():
+            return NotRun(RefusalReason.DEADLINE_PASSED)
+        if context.depth > MAX_DEPTH:
+            return NotRun(RefusalReason.TOO_DEEP)
+        if parent is not None:
+            return self._check_child(context, parent)
+        if request.ticket:
+            # Its home checks the door: a repeat may join its first copy.
+            return None
+        if not context.idempotent:
+            ticket = self._parts.issuer.for_service(request.service)
+            return NotRun(RefusalReason.TICKET_MISSING, ticket=ticket)
+        return self._parts.door.check(
+            request.service,
+            request.operation,
+            context.rank,
+        )
+
+    def _check_child(
+        self,
+        context: Context,
+        parent: Context,
+    ) -> NotRun | None:
+        if context.idempotent or not parent.idempotent:
+            return None
+        # The parent may run twice, and would run this call twice with it.
+        return NotRun(RefusalReason.UNDECLARED_CALLEE)
+
+    async def _attempt_all(self, attempts: _Attempts) -> Outcome:
+        self._ratio(attempts).first_try(self._parts.policy().retries.ratio)
+        while True:
+            judged = await self._attempt(attempts)
+            if not isinstance(judged, _Retry):
+                return self._finish(attempts, judged)
+            if not await self._may_retry(attempts, judged):
+                return self._finish(attempts, judged.outcome)
+
+    async def _attempt(self, attempts: _Attempts) -> Outcome | _Retry:
+        problem = self._choose_server(attempts)
+        if problem is not None:
+            return problem
+        attempts.tries += 1
+        server = attempts.server
+        lent = attempts.context.pool.lend()
+        call = self._make_call(attempts, lent)
+        self._parts.router.sent(server.node)
+        try:
+            reply = await self._parts.transport.call(server, call)
+        finally:
+            self._parts.router.returned(server.node)
+        return self._judge(attempts, reply, lent)
+
+    def _choose_server(self, attempts: _Attempts) -> Outcome | None:
+        if attempts.has_callers_ticket:
+            return self._choose_home(attempts)
+        if attempts.ticket:
+            return None
+        service = attempts.request.service
+        attempts.server = self._parts.router.pick(service, attempts.tried)
+        if attempts.server is None:
+            return NotRun(RefusalReason.NO_SERVER, RETRY_AFTER_MS)
+        if not attempts.context.idempotent:
+            attempts.ticket = self._parts.issuer.for_server(attempts.server)
+        return None
+
+    def _choose_home(self, attempts: _Attempts) -> Outcome | None:
+        ticket = self._parts.issuer.read(attempts.request.ticket)
+        if ticket is None or ticket.service != attempts.request.service:
+            fresh = self._parts.issuer.for_service(attempts.request.service)
+            return NotRun(RefusalReason.TICKET_INVALID, ticket=fresh)
+        home = self._parts.members.member_by_node.get(ticket.home)
+        if home is None:
+            return Unknown(UnknownReason.HOME_UNREACHABLE)
+        if home.incarnation > ticket.incarnation:
+            return Unknown(UnknownReason.HOME_RESTARTED)
+        attempts.server = home
+        attempts.ticket = attempts.request.ticket
+        return None
+
+    def _make_call(self, attempts: _Attempts, lent: int) -> Call:
+        request, context = attempts.request, attempts.context
+        return Call(
+            attempt=next(self._attempt_ids),
+            root=context.root,
+            rank=context.rank,
+            remaining_ms=int(context.deadline_ms - self._clock.now_ms()),
+            tokens=lent,
+            service=request.service,
+            operation=request.operation,
+            method=request.method,
+            headers=request.headers,
+            body=request.body,
+            ticket=attempts.ticket,
+            idempotent=context.idempotent,
+            depth=context.depth,
+        )
+
+    def _judge(
+        self,
+        attempts: _Attempts,
+        reply: Reply,
+        lent: int,
+    ) -> Outcome | _Retry:
+        node = attempts.server.node
+        match reply:
+            case Answer():
+                attempts.context.pool.give_back(reply.tokens, lent)
+                self._hear(attempts.server, reply)
+                return self._judge_outcome(attempts, reply.outcome)
+            case NotSent():
+                attempts.context.pool.give_back(lent, lent)
+                self._parts.router.failed(node)
+                return self._judge_not_sent(attempts)
+            case Lost(by_deadline=True):
+                attempts.may_have_run = True
+                return Unknown(UnknownReason.ANSWER_LATE)
+            case Lost():
+                attempts.may_have_run = True
+                self._parts.router.failed(node)
+                outcome = Unknown(UnknownReason.ANSWER_LOST)
+                return self._retry_elsewhere(
+                    attempts,
+                    _Retry(RetryReason.ANSWER_LOST, outcome, same_home=True),
+                )
+
+    def _judge_outcome(
+        self,
+        attempts: _Attempts,
+        outcome: Outcome,
+    ) -> Outcome | _Retry:
+        match outcome:
+            case Answered():
+                return outcome
+            case NotRun():
+                return self._judge_refusal(attempts, outcome)
+            case Unknown(UnknownReason.HOME_RESTARTED) if (
+                not attempts.has_callers_ticket and not attempts.may_have_run
+            ):
+                # Only the earlier incarnation could run the ticket, and it
+                # never got it.
+                return self._judge_not_sent(attempts)
+            case Unknown():
+                attempts.may_have_run = True
+                if not attempts.context.idempotent:
+                    self._counters.not_retried(NoRetryReason.NOT_IDEMPOTENT)
+                    return outcome
+                retry = _Retry(RetryReason.ANSWER_LOST, outcome)
+                return self._retry_elsewhere(attempts, retry)
+
+    def _judge_refusal(
+        self,
+        attempts: _Attempts,
+        outcome: NotRun,
+    ) -> Outcome | _Retry:
+        if attempts.ticket:
+            # The home voided the ticket before it answered, so no earlier
+            # copy of this call has run either.
+            attempts.may_have_run = False
+        if outcome.reason not in REFUSED_BY_LOAD:
+            self._counters.not_retried(NoRetryReason.NOT_REFUSED_BY_LOAD)
+            return outcome
+        if attempts.has_callers_ticket:
+            return outcome
+        retry = _Retry(RetryReason.REFUSED, outcome)
+        return self._retry_elsewhere(attempts, retry)
+
+    def _judge_not_sent(self, attempts: _Attempts) -> Outcome | _Retry:
+        retry = _Retry(
+            RetryReason.UNREACHABLE,
+            NotRun(RefusalReason.UNREACHABLE, RETRY_AFTER_MS),
+        )
+        if attempts.has_callers_ticket or attempts.may_have_run:
+            outcome = Unknown(UnknownReason.HOME_UNREACHABLE)
+            retry = _Retry(RetryReason.UNREACHABLE, outcome, same_home=True)
+        return self._retry_elsewhere(attempts, retry)
+
+    def _retry_elsewhere(self, attempts: _Attempts, retry: _Retry) -> _Retry:
+        if not (retry.same_home and attempts.ticket):
+            attempts.ticket = ''
+            attempts.tried.add(attempts.server.node)
+        return retry
+
+    async def _may_retry(self, attempts: _Attempts, retry: _Retry) -> bool:
+        policy = self._parts.policy().retries
+        wait_ms = backoff_ms(policy.backoff_ms, attempts.tries, self._rng)
+        obstacle = self._find_obstacle(attempts, wait_ms)
+        if obstacle is not None:
+            self._counters.not_retried(obstacle)
+            return False
+        self._counters.retried(retry.reason)
+        await self._clock.sleep(wait_ms)
+        return True
+
+    def _find_obstacle(
+        self,
+        attempts: _Attempts,
+        wait_ms: float,
+    ) -> NoRetryReason | None:
+        left_ms = attempts.context.deadline_ms - self._clock.now_ms()
+        if left_ms <= wait_ms:
+            return NoRetryReason.DEADLINE
+        if not attempts.ticket and self._is_last(attempts):
+            return NoRetryReason.NO_OTHER_SERVER
+        if not attempts.context.pool.tokens:
+            return NoRetryReason.NO_TOKEN
+        if not self._ratio(attempts).take():
+            return NoRetryReason.RATIO
+        attempts.context.pool.take()
+        return None
+
+    def _is_last(self, attempts: _Attempts) -> bool:
+        service = attempts.request.service
+        return self._parts.router.pick(service, attempts.tried) is None
+
+    def _finish(self, attempts: _Attempts, outcome: Outcome) -> Outcome:
+        match outcome:
+            case NotRun() if attempts.may_have_run:
+                # An earlier attempt was lost and may have run.
+                return Unknown(UnknownReason.ANSWER_LOST)
+            case NotRun(ticket='') if attempts.has_callers_ticket:
+                fresh = self._parts.issuer.for_service(
+                    attempts.request.service,
+                    attempts.server.node,
+                )
+                return dataclasses.replace(outcome, ticket=fresh)
+            case _:
+                return outcome
+
+    def _hear(self, server: Member, answer: Answer) -> None:
+        self._parts.router.reported(server.node, answer.load_permille)
+        self._parts.view.hear_direct(
+            server.service, server.node, answer.threshold
+        )
+        for service, report in answer.thresholds.items():
+            self._parts.view.hear_indirect(service, report)
+
+    def _ratio(self, attempts: _Attempts) -> RetryRatio:
+        service = attempts.request.service
+        ratio = self._ratio_by_service.get(service)
+        if ratio is None:
+            ratio = RetryRatio()
+            self._ratio_by_service[service] = ratio
+        return ratio
+
+
+@contextlib.contextmanager
+def _as_child(parent: Context) -> Iterator[None]:
+    task = asyncio.current_task()
+    parent.children.add(task)
+    try:
+        yield
+    finally:
+        parent.children.discard(task)
--- /dev/null
+++ b/bergamotmount/node.py
@@ -0,0 +1,356 @@
+"""A node: egress, ingress and all that they share, behind ports."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable
+
+from bergamotmount import events
+from bergamotmount.admission import Admission
+from bergamotmount.clock import Clock
+from bergamotmount.context import InHand
+from bergamotmount.counters import Counters
+from bergamotmount.distribution import DistributionTimes, PolicyDistribution
+from bergamotmount.door import Door
+from bergamotmount.egress import Egress, EgressParts
+from bergamotmount.heartbeats import Heartbeats, HeartbeatTimes
+from bergamotmount.ingress import Ingress, ServerGate
+from bergamotmount.joining import LogJoin
+from bergamotmount.lifecycle import ServerLifecycle, ServerState
+from bergamotmount.limit import ConcurrencyLimit
+from bergamotmount.link import LinkPool
+from bergamotmount.member import Member, MemberState
+from bergamotmount.membership import Members
+from bergamotmount.messages import (
+    Answer,
+    Call,
+    Heartbeat,
+    Message,
+    PolicyFetch,
+    PolicyRecords,
+    PolicyState,
+)
+from bergamotmount.ports import (
+    BackendServer,
+    Dialer,
+    LogService,
+    Lost,
+    Reply,
+)
+from bergamotmount.reasons import RefusalReason
+from bergamotmount.routing import Router
+from bergamotmount.serving import PeerServer
+from bergamotmount.threshold import ThresholdController, ThresholdView
+from bergamotmount.ticket import TicketMint
+from bergamotmount.ticketissuer import TicketIssuer
+from bergamotmount.ticketstore import TicketStore
+
+#: How often leases and links are looked at.
+CHECK_MS = 200
+
+#: How often the wait for requests in flight is looked at while stopping.
+STOP_CHECK_MS = 20
+
+#: Time that peers get to learn of a departure before the node closes.
+FAREWELL_MS = 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeIdentity:
+    """Who a node is, from its settings."""
+
+    node: str
+    address: str
+    region: str
+    failure_domain: str
+    incarnation: int
+    admin: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeOptions:
+    """What can be set on a node beside its identity."""
+
+    ticket_key: str
+    seeds: tuple[str, ...] = ()
+    ticket_life_ms: int = 120_000
+    heartbeat: HeartbeatTimes = HeartbeatTimes()
+    distribution: DistributionTimes = DistributionTimes()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodePorts:
+    """The outside of a node."""
+
+    clock: Clock
+    dialer: Dialer
+    log: LogService
+    server: BackendServer
+    counters: Counters
+    rng: random.Random
+
+
+class Node:
+    """Everything that runs beside one backend server."""
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        options: NodeOptions,
+        ports: NodePorts,
+    ) -> None:
+        """Put the parts together; nothing runs before :meth:`start`."""
+        self.identity = identity
+        self.ports = ports
+        clock, rng = ports.clock, ports.rng
+        self.members = Members(clock, _own_member(identity))
+        self.router = Router(clock, self.members, rng)
+        self.view = ThresholdView(clock)
+        self.links = LinkPool(
+            clock,
+            ports.dialer,
+            ports.counters,
+            self._receive_on_link,
+        )
+        self.heartbeats = Heartbeats(
+            clock,
+            self.members,
+            self.links,
+            options.seeds,
+            rng,
+            options.heartbeat,
+            self._prepare,
+        )
+        self.distribution = PolicyDistribution(
+            clock,
+            ports.log,
+            self.members,
+            rng,
+            options.distribution,
+            self.heartbeats.push,
+        )
+        self.join = LogJoin(clock, ports.log, self.members, rng)
+        self.lifecycle = ServerLifecycle(clock, self._on_server_state)
+        self._build_roles(options)
+        self.is_stopping = False
+        self._warm_until_ms: float = 0
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Start the tasks of the node in the running event loop."""
+        events.member_changed.connect(
+            self._on_member_changed,
+            sender=self.heartbeats,
+        )
+        self._tasks = [
+            asyncio.create_task(self.heartbeats.run()),
+            asyncio.create_task(self.distribution.run()),
+            asyncio.create_task(self.join.run(self.heartbeats.add_seeds)),
+            asyncio.create_task(self._check_regularly()),
+        ]
+
+    async def drain(self) -> None:
+        """Take no new work for the server and wait for what is in flight.
+
+        Callers are still served, by other servers. The wait is bounded by
+        the policy's ``drain_ms``.
+        """
+        self.is_stopping = True
+        self.lifecycle.drain()
+        self._announce(MemberState.DRAINING)
+        await self._wait_while(self._has_server_work)
+
+    async def leave(self) -> None:
+        """Wait for callers' requests, tell the peers, and close."""
+        await self._wait_while(self._has_callers_work)
+        self._announce(MemberState.LEFT)
+        self.heartbeats.farewell()
+        await self.ports.clock.sleep(FAREWELL_MS)
+        self.close()
+
+    def close(self) -> None:
+        """Stop at once, without a word to anybody."""
+        for task in self._tasks:
+            task.cancel()
+        self.links.close()
+
+    def announce_server(self, service: str, slots: int, cold: bool) -> None:
+        """Take an announcement of the backend server, or its renewal."""
+        policy = self.distribution.policy.servers
+        self.lifecycle.renew(policy.lease_ms)
+        is_new = not self.lifecycle.is_accepting
+        slow_start_ms = policy.slow_start_ms if cold and is_new else 0
+        own = self.members.own
+        self.gate.admission.limit.announce(slots, slow_start_ms)
+        if is_new:
+            self._warm_until_ms = self.ports.clock.now_ms() + slow_start_ms
+        if is_new or (own.service, own.slots) != (service, slots):
+            news = self.members.announce(MemberState.WARMING, service, slots)
+            self.heartbeats.spread(news)
+        self.lifecycle.announce()
+        self.gate.admission.admit_waiting()
+
+    def renew_server(self) -> bool:
+        """Extend the server's lease; return whether it is announced."""
+        if self.lifecycle.state is ServerState.ABSENT:
+            return False
+        self.lifecycle.renew(self.distribution.policy.servers.lease_ms)
+        return True
+
+    def receive(self, message: Message) -> list[Message]:
+        """Take a message that is no call and return the messages to answer."""
+        match message:
+            case Heartbeat():
+                return self._receive_heartbeat(message)
+            case PolicyFetch():
+                return self.distribution.serve(message)
+            case PolicyRecords():
+                self.distribution.take_records(message)
+            case PolicyState():
+                self.distribution.take_state(message)
+        return []
+
+    async def call(self, server: Member, call: Call) -> Reply:
+        """Carry a call to a server's node, directly if that is this node."""
+        if server.node != self.identity.node:
+            return await self.links.call(server, call)
+        try:
+            async with self.ports.clock.timeout(call.remaining_ms):
+                return await self.ingress.handle(call)
+        except TimeoutError:
+            return Lost(by_deadline=True)
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message to a peer."""
+        self.links.send(address, message)
+
+    async def handle_call(self, call: Call) -> Answer:
+        """Run a call that a peer sent."""
+        return await self.ingress.handle(call)
+
+    def _build_roles(self, options: NodeOptions) -> None:
+        clock, rng = self.ports.clock, self.ports.rng
+        mint = TicketMint(options.ticket_key)
+        door = Door(self.view, self._policy, rng)
+        controller = ThresholdController(clock)
+        limit = ConcurrencyLimit(clock)
+        self.gate = ServerGate(
+            self.ports.server,
+            self.lifecycle,
+            Admission(clock, limit, controller, rng),
+            controller,
+            TicketStore(clock, self.identity.incarnation),
+            InHand(),
+        )
+        self.ingress = Ingress(
+            clock,
+            self.identity.node,
+            self.gate,
+            mint,
+            door,
+            self.ports.counters,
+        )
+        issuer = TicketIssuer(clock, self.router, mint, options.ticket_life_ms)
+        parts = EgressParts(
+            self.members,
+            self.router,
+            self,
+            issuer,
+            door,
+            self.view,
+            self.gate.in_hand,
+            self._policy,
+        )
+        self.issuer = issuer
+        self.egress = Egress(clock, parts, self.ports.counters, rng)
+        self.peer_server = PeerServer(
+            self.handle_call,
+            self.receive,
+            self.ports.counters,
+        )
+
+    def _policy(self):
+        return self.distribution.policy
+
+    def _receive_heartbeat(self, heartbeat: Heartbeat) -> list[Message]:
+        replies: list[Message] = list(self.heartbeats.take(heartbeat))
+        if heartbeat.members:
+            self._hear_load(heartbeat.members[0], heartbeat)
+        replies.extend(self.distribution.behind(heartbeat.policy_offset))
+        return replies
+
+    def _hear_load(self, sender: Member, heartbeat: Heartbeat) -> None:
+        if sender.service:
+            self.router.reported(sender.node, heartbeat.load_permille)
+            self.view.hear_direct(
+                sender.service,
+                sender.node,
+                heartbeat.threshold,
+            )
+        for service, report in heartbeat.thresholds.items():
+            self.view.hear_indirect(service, report)
+
+    def _receive_on_link(self, address: str, message: Message) -> None:
+        for reply in self.receive(message):
+            self.links.send(address, reply)
+
+    def _prepare(self, heartbeat: Heartbeat) -> None:
+        heartbeat.policy_offset = self.distribution.state.offset
+        heartbeat.threshold = self.gate.controller.current()
+        heartbeat.thresholds = self.view.reports()
+        heartbeat.load_permille = self.gate.admission.load_permille
+
+    def _on_server_state(self, state: ServerState) -> None:
+        match state:
+            case ServerState.SERVING:
+                self._announce(MemberState.SERVING)
+            case ServerState.DRAINING:
+                self.gate.admission.refuse_waiting(RefusalReason.DRAINING)
+                self._announce(MemberState.DRAINING)
+            case ServerState.ABSENT:
+                self.gate.admission.refuse_waiting(RefusalReason.NOT_SERVING)
+                self._announce(MemberState.DRAINING)
+
+    def _announce(self, state: MemberState) -> None:
+        slots = self.gate.admission.limit.slots
+        self.heartbeats.spread(self.members.announce(state, slots=slots))
+
+    def _on_member_changed(self, _sender: object, member: Member) -> None:
+        if member.state is MemberState.LEFT:
+            self.router.forget(member.node)
+
+    async def _check_regularly(self) -> None:
+        while True:
+            await self.ports.clock.sleep(CHECK_MS)
+            self.lifecycle.check_lease()
+            if self.ports.clock.now_ms() >= self._warm_until_ms:
+                self.lifecycle.warmed()
+            self.gate.admission.admit_waiting()
+            self.links.close_idle()
+
+    def _has_server_work(self) -> bool:
+        running = self.peer_server.calls_running
+        return bool(self.gate.admission.in_flight or running)
+
+    def _has_callers_work(self) -> bool:
+        return bool(self.egress.open_calls)
+
+    async def _wait_while(self, is_busy: Callable[[], bool]) -> None:
+        longest_ms = self.distribution.policy.servers.drain_ms
+        try:
+            async with self.ports.clock.timeout(longest_ms):
+                while is_busy():
+                    await self.ports.clock.sleep(STOP_CHECK_MS)
+        except TimeoutError:
+            return
+
+
+def _own_member(identity: NodeIdentity) -> Member:
+    return Member(
+        identity.node,
+        identity.address,
+        identity.region,
+        identity.failure_domain,
+        identity.incarnation,
+        admin=identity.admin,
+    )
--- /dev/null
+++ b/bergamotmount/policy.py
@@ -0,0 +1,137 @@
+"""Policy in force: operations, retries and treatment of backend servers."""
+
+import dataclasses
+from collections.abc import Iterable
+
+#: Name of an operation: service and operation.
+OperationName = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """One operation of a service, as declared by its operators.
+
+    ``level`` is 0 for the most important. ``callees`` are the operations it
+    calls itself. ``may_repeat`` and ``needs`` follow from the whole graph:
+    whether it and everything below is idempotent, and all services it needs.
+    """
+
+    service: str
+    name: str
+    level: int
+    idempotent: bool
+    callees: frozenset[OperationName]
+    timeout_ms: int
+    may_repeat: bool = True
+    needs: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """How much retrying is allowed.
+
+    ``per_request`` bounds all retries that one client request causes,
+    ``ratio`` the retries of a service against its first tries.
+    """
+
+    per_request: int = 3
+    ratio: float = 0.1
+    backoff_ms: int = 10
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerPolicy:
+    """How backend servers are treated that come and go.
+
+    ``slow_start_ms`` is how long a new server takes to its full limit,
+    ``lease_ms`` how long an announcement lasts without renewal, ``drain_ms``
+    how long a planned stop waits for requests in flight.
+    """
+
+    slow_start_ms: int = 2000
+    lease_ms: int = 5000
+    drain_ms: int = 30_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """All of the policy in force, as one immutable snapshot."""
+
+    operation_by_name: dict[OperationName, Operation] = dataclasses.field(
+        default_factory=dict,
+    )
+    retries: RetryPolicy = RetryPolicy()
+    servers: ServerPolicy = ServerPolicy()
+
+
+def find_cycle(
+    callees_by_name: dict[OperationName, frozenset[OperationName]],
+) -> list[OperationName]:
+    """Return operations that call each other in a circle, or an empty list."""
+    finished: set[OperationName] = set()
+    for name in sorted(callees_by_name):
+        cycle = _find_cycle_from(name, callees_by_name, finished)
+        if cycle:
+            return cycle
+    return []
+
+
+def link_operations(
+    operations: Iterable[Operation],
+) -> dict[OperationName, Operation]:
+    """Return operations by name, with what follows from the whole graph."""
+    declared = {(each.service, each.name): each for each in operations}
+    return {
+        name: _linked(operation, declared)
+        for name, operation in declared.items()
+    }
+
+
+def _linked(
+    operation: Operation,
+    declared: dict[OperationName, Operation],
+) -> Operation:
+    below = _reachable(operation, declared)
+    return dataclasses.replace(
+        operation,
+        may_repeat=all(each.idempotent for each in below),
+        needs=frozenset(each.service for each in below),
+    )
+
+
+def _reachable(
+    operation: Operation,
+    declared: dict[OperationName, Operation],
+) -> list[Operation]:
+    seen = {(operation.service, operation.name)}
+    pending = [operation]
+    reached = []
+    while pending:
+        current = pending.pop()
+        reached.append(current)
+        fresh = sorted(name for name in current.callees if name not in seen)
+        seen.update(fresh)
+        pending.extend(declared[name] for name in fresh if name in declared)
+    return reached
+
+
+def _find_cycle_from(
+    start: OperationName,
+    callees_by_name: dict[OperationName, frozenset[OperationName]],
+    finished: set[OperationName],
+) -> list[OperationName]:
+    path: list[OperationName] = []
+    pending = [(start, 0)]
+    while pending:
+        name, depth = pending.pop()
+        finished.update(path[depth:])
+        path = path[:depth]
+        if name in path:
+            return [*path[path.index(name) :], name]
+        if name in finished:
+            continue
+        path.append(name)
+        callees = sorted(callees_by_name.get(name, ()))
+        pending.extend((callee, depth + 1) for callee in callees)
+    finished.update(path)
+    return []
--- /dev/null
+++ b/bergamotmount/reasons.py
@@ -0,0 +1,95 @@
+"""Reasons for refusals, retries, unknown outcomes and dropped messages.
+
+Each reason is a string with a fixed spelling: it appears in answers, in
+metric labels and in logs, so operators can follow one from a caller's
+complaint to the graph that counts it.
+"""
+
+import enum
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a request was refused; in every case it was not run."""
+
+    QUEUE_FULL = 'queue_full'
+    EVICTED = 'evicted'
+    OVER_THRESHOLD = 'over_threshold'
+    DEADLINE_TOO_CLOSE = 'deadline_too_close'
+    DEADLINE_PASSED = 'deadline_passed'
+    DRAINING = 'draining'
+    NOT_SERVING = 'not_serving'
+    NO_SERVER = 'no_server'
+    NO_POLICY = 'no_policy'
+    UNREACHABLE = 'unreachable'
+    SERVER_SHED = 'server_shed'
+    TICKET_MISSING = 'ticket_missing'
+    TICKET_INVALID = 'ticket_invalid'
+    TICKET_VOID = 'ticket_void'
+    TICKETS_FULL = 'tickets_full'
+    UNDECLARED_CALLEE = 'undeclared_callee'
+    UNKNOWN_OPERATION = 'unknown_operation'
+    UNKNOWN_PARENT = 'unknown_parent'
+    TOO_DEEP = 'too_deep'
+    BAD_HEADER = 'bad_header'
+    BODY_TOO_LARGE = 'body_too_large'
+    CANCELLED = 'cancelled'
+
+
+class UnknownReason(enum.StrEnum):
+    """Why it can't be told whether a request was run."""
+
+    ANSWER_LOST = 'answer_lost'
+    ANSWER_LATE = 'answer_late'
+    ANSWER_INCOMPLETE = 'answer_incomplete'
+    ANSWER_TOO_LARGE = 'answer_too_large'
+    HOME_RESTARTED = 'home_restarted'
+    HOME_UNREACHABLE = 'home_unreachable'
+    TICKET_EXPIRED = 'ticket_expired'
+    TICKET_UNSETTLED = 'ticket_unsettled'
+
+
+class RetryReason(enum.StrEnum):
+    """Why a call is tried once more."""
+
+    REFUSED = 'refused'
+    UNREACHABLE = 'unreachable'
+    ANSWER_LOST = 'answer_lost'
+
+
+class NoRetryReason(enum.StrEnum):
+    """Why a failed call is not tried again."""
+
+    NO_TOKEN = 'no_token'
+    RATIO = 'ratio'
+    DEADLINE = 'deadline'
+    NO_OTHER_SERVER = 'no_other_server'
+    NOT_IDEMPOTENT = 'not_idempotent'
+    NOT_REFUSED_BY_LOAD = 'not_refused_by_load'
+
+
+class DropReason(enum.StrEnum):
+    """Why a message or a connection was dropped."""
+
+    LATE_ANSWER = 'late_answer'
+    DUPLICATE_CALL = 'duplicate_call'
+    FRAME_TOO_LARGE = 'frame_too_large'
+    FRAME_CHECKSUM = 'frame_checksum'
+    FRAME_TRUNCATED = 'frame_truncated'
+    FRAME_KIND = 'frame_kind'
+    FRAME_MALFORMED = 'frame_malformed'
+    SILENT_CONNECTION = 'silent_connection'
+
+
+#: Refusals that another backend server of the service may not share.
+REFUSED_BY_LOAD = frozenset(
+    (
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.EVICTED,
+        RefusalReason.DEADLINE_TOO_CLOSE,
+        RefusalReason.DRAINING,
+        RefusalReason.NOT_SERVING,
+        RefusalReason.SERVER_SHED,
+        RefusalReason.UNREACHABLE,
+        RefusalReason.TICKETS_FULL,
+    )
+)
--- /dev/null
+++ b/bergamotmount/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module of the package."""
--- /dev/null
+++ b/bergamotmount/tests/fakes.py
@@ -0,0 +1,477 @@
+"""Small fakes at the ports: network, backend server, log, clock."""
+
+import asyncio
+import dataclasses
+import json
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from bergamotmount.acceptance import AcceptedState
+from bergamotmount.clock import MS_PER_SECOND, LoopClock
+from bergamotmount.counters import Counters
+from bergamotmount.distribution import DistributionTimes
+from bergamotmount.egress import Request
+from bergamotmount.messages import Call, Message
+from bergamotmount.node import Node, NodeIdentity, NodeOptions, NodePorts
+from bergamotmount.outcomes import Answered, NotRun
+from bergamotmount.ports import (
+    ChannelError,
+    LogError,
+    LogPage,
+    LogRecord,
+    ServerLost,
+    ServerReply,
+    ServerShed,
+)
+
+KEY = 'a-ticket-key-for-tests'
+LATENCY_MS = 1.5
+
+
+class FakeClock(LoopClock):
+    """Loop clock that a test can freeze."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+
+    async def sleep(self, duration_ms: float) -> None:
+        await super().sleep(duration_ms)
+        await self.thawed.wait()
+
+
+class CountingCounters(Counters):
+    """Counters that a test can read."""
+
+    def __init__(self, step: Callable[[str], None] = lambda _: None) -> None:
+        self.counts: Counter = Counter()
+        self._step = step
+
+    def admitted(self, service) -> None:
+        self._step('admitted')
+        self.counts['admitted'] += 1
+
+    def refused(self, role, reason) -> None:
+        self.counts[role, reason] += 1
+
+    def unknown(self, role, reason) -> None:
+        self.counts[role, reason] += 1
+
+    def retried(self, reason) -> None:
+        self.counts['retried'] += 1
+        self.counts[reason] += 1
+
+    def not_retried(self, reason) -> None:
+        self.counts[reason] += 1
+
+    def dropped(self, reason) -> None:
+        self.counts[reason] += 1
+
+
+class FakeChannel:
+    """One end of a connection between two nodes."""
+
+    def __init__(self, network: 'FakeNetwork', own: str, peer: str) -> None:
+        self.network = network
+        self.own = own
+        self.peer = peer
+        self.other: FakeChannel | None = None
+        self.inbox: asyncio.Queue = asyncio.Queue()
+        self.is_closed = False
+        self.is_silent = False
+
+    def send(self, message: Message) -> None:
+        if self.is_closed:
+            raise ChannelError('closed')
+        self.network.carry(self, message)
+
+    async def receive(self) -> Message:
+        message = await self.inbox.get()
+        await self.network.wait_thawed(self.own)
+        if message is None:
+            self.is_closed = True
+            raise ChannelError('ended')
+        return message
+
+    def close(self) -> None:
+        if not self.is_closed:
+            self.is_closed = True
+            self.inbox.put_nowait(None)
+            if not self.is_silent and not self.network.is_cut(
+                self.own, self.peer
+            ):
+                self.other.inbox.put_nowait(None)
+
+
+class FakeNetwork:
+    """Carries messages between nodes, and breaks as a test wishes.
+
+    ``disturb`` may replace the deliveries of one message: it returns pairs of
+    a delay in milliseconds and a message.
+    """
+
+    def __init__(self, step: Callable[[str, Message], None]) -> None:
+        self.node_by_address: dict[str, 'FakeHost'] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.channels: list[FakeChannel] = []
+        self.disturb: Callable | None = None
+        self.slow_ms: float = 0
+        self._step = step
+
+    def is_cut(self, source: str, target: str) -> bool:
+        return (source, target) in self.cuts
+
+    def cut(self, source: str, target: str) -> None:
+        self.cuts.add((source, target))
+
+    async def wait_thawed(self, name: str) -> None:
+        host = self.node_by_address.get(name)
+        if host is not None:
+            await host.clock.thawed.wait()
+
+    async def open(self, source: str, target: str) -> FakeChannel:
+        if self.is_cut(source, target) or self.is_cut(target, source):
+            await asyncio.sleep(60)
+        await asyncio.sleep(2 * LATENCY_MS / MS_PER_SECOND)
+        host = self.node_by_address.get(target)
+        if host is None or not host.is_alive:
+            raise ChannelError('refused')
+        near = FakeChannel(self, source, target)
+        far = FakeChannel(self, target, source)
+        near.other, far.other = far, near
+        self.channels.extend((near, far))
+        host.serve(far)
+        return near
+
+    def carry(self, channel: FakeChannel, message: Message) -> None:
+        self._step(f'sent {type(message).__name__}', message)
+        deliveries = [(LATENCY_MS + self.slow_ms, message)]
+        if self.disturb is not None:
+            deliveries = self.disturb(message, deliveries)
+        loop = asyncio.get_running_loop()
+        for delay_ms, delivered in deliveries:
+            delay_s = delay_ms / MS_PER_SECOND
+            loop.call_later(delay_s, self._deliver, channel, delivered)
+
+    def _deliver(self, channel: FakeChannel, message: Message) -> None:
+        other = channel.other
+        lost = (
+            self.is_cut(channel.own, channel.peer)
+            or channel.is_silent
+            or other.is_closed
+        )
+        if not lost:
+            self._step(f'arrived {type(message).__name__}', message)
+            other.inbox.put_nowait(message)
+
+
+@dataclasses.dataclass(frozen=True)
+class FakeDialer:
+    """Dialer of one node."""
+
+    network: FakeNetwork
+    own: str
+
+    async def open(self, address: str) -> FakeChannel:
+        return await self.network.open(self.own, address)
+
+
+@dataclasses.dataclass
+class Truth:
+    """What really ran, and when."""
+
+    runs: Counter = dataclasses.field(default_factory=Counter)
+    finished: Counter = dataclasses.field(default_factory=Counter)
+    interrupted: list = dataclasses.field(default_factory=list)
+    starts: list = dataclasses.field(default_factory=list)
+
+
+class FakeServer:
+    """Backend server that records each execution by its key."""
+
+    def __init__(self, host: 'FakeHost', truth: Truth) -> None:
+        self.host = host
+        self.truth = truth
+        self.service_ms: float = 20
+        self.sheds = False
+        self.loses = False
+        self.callees: dict[str, str] = {}
+
+    async def run(self, call: Call, parent: str, remaining_ms) -> ServerReply:
+        await self.host.clock.thawed.wait()
+        if self.sheds:
+            return ServerShed()
+        key = call.body.decode()
+        self.truth.runs[key] += 1
+        self.truth.starts.append((self.host.name, self.host.clock.now_ms()))
+        self.host.step('dispatched', call)
+        try:
+            return await self._run(call, parent, key)
+        except asyncio.CancelledError:
+            self.truth.interrupted.append((self.host.name, key))
+            raise
+
+    async def _run(self, call: Call, parent: str, key: str) -> ServerReply:
+        await self.host.clock.sleep(self.service_ms / 2)
+        self.host.step('running', call)
+        callee = self.callees.get(call.operation)
+        if callee is not None:
+            service, _, operation = callee.partition('/')
+            child_key = f'{key}/{operation}'
+            outcome = await self.host.node.egress.call(
+                Request(
+                    service, operation, body=child_key.encode(), parent=parent
+                ),
+            )
+            if not isinstance(outcome, Answered):
+                return Answered(502, [], b'failed')
+            if outcome.body != child_key.encode():
+                return Answered(500, [], b'answer to another request')
+        await self.host.clock.sleep(self.service_ms / 2)
+        self.host.step('answered', call)
+        self.truth.finished[key] += 1
+        return ServerLost() if self.loses else Answered(200, [], key.encode())
+
+
+class FakeLog:
+    """Append-only log with the faults of the platform's."""
+
+    def __init__(self) -> None:
+        self.bodies_by_stream: dict[str, list[bytes]] = {}
+        self.first_kept: dict[str, int] = {}
+        self.is_down = False
+        self.slow_ms: float = 0
+        self.lose_answers = 0
+        self.reads = 0
+        self.appends = 0
+
+    async def append(self, stream: str, body: bytes) -> int:
+        await asyncio.sleep((2 + self.slow_ms) / MS_PER_SECOND)
+        if self.is_down:
+            raise LogError('down')
+        bodies = self.bodies_by_stream.setdefault(stream, [])
+        bodies.append(body)
+        self.appends += 1
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise LogError('answer lost')
+        return len(bodies) - 1
+
+    async def read(self, stream: str, from_offset: int, wait_ms) -> LogPage:
+        self.reads += 1
+        waited_ms = 0
+        await asyncio.sleep((2 + self.slow_ms) / MS_PER_SECOND)
+        while not self.is_down:
+            page = self._page(stream, from_offset)
+            if page.records or waited_ms >= wait_ms:
+                return page
+            await asyncio.sleep(50 / MS_PER_SECOND)
+            waited_ms += 50
+        raise LogError('down')
+
+    def forget_before(self, stream: str, offset: int) -> None:
+        self.first_kept[stream] = offset
+
+    def _page(self, stream: str, from_offset: int) -> LogPage:
+        bodies = self.bodies_by_stream.get(stream, [])
+        first = self.first_kept.get(stream, 0)
+        start = max(from_offset, first)
+        records = [
+            LogRecord(offset, bodies[offset])
+            for offset in range(start, len(bodies))
+        ]
+        return LogPage(first, max(start, len(bodies)), records)
+
+
+class FakeLogView:
+    """The log as one node reaches it, which a test can cut off."""
+
+    def __init__(self, log: FakeLog) -> None:
+        self._log = log
+        self.is_cut = False
+
+    async def append(self, stream: str, body: bytes) -> int:
+        self._check()
+        return await self._log.append(stream, body)
+
+    async def read(self, stream: str, from_offset: int, wait_ms) -> LogPage:
+        self._check()
+        page = await self._log.read(stream, from_offset, wait_ms)
+        self._check()
+        return page
+
+    def _check(self) -> None:
+        if self.is_cut:
+            raise LogError('cut off')
+
+
+class FakeHost:
+    """A host with its node and its backend server; it can be restarted."""
+
+    def __init__(self, world: 'World', name: str, service: str, domain: str):
+        self.world = world
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.incarnation = 0
+        self.is_alive = False
+        self.log = FakeLogView(world.log)
+        self.tasks: set[asyncio.Task] = set()
+
+    def step(self, name: str, message: object = None) -> None:
+        self.world.step(name, self, message)
+
+    def start(self, slots: int = 4) -> None:
+        self.incarnation += 1
+        self.is_alive = True
+        self.clock = FakeClock()
+        self.counters = CountingCounters(self.step)
+        self.server = FakeServer(self, self.world.truth)
+        self.server.callees = self.world.callees
+        identity = NodeIdentity(
+            self.name,
+            self.name,
+            'region',
+            self.domain,
+            self.incarnation,
+        )
+        seed = f'{self.world.seed} {self.name} {self.incarnation}'
+        ports = NodePorts(
+            self.clock,
+            FakeDialer(self.world.network, self.name),
+            self.log,
+            self.server,
+            self.counters,
+            random.Random(seed),
+        )
+        options = NodeOptions(
+            KEY,
+            self.world.seeds,
+            60_000,
+            distribution=DistributionTimes(checkpoint_ms=20_000),
+        )
+        self.node = Node(identity, options, ports)
+        self.world.network.node_by_address[self.name] = self
+        pick = self.node.router.pick
+
+        def traced_pick(service, tried):
+            self.step('context made')
+            server = pick(service, tried)
+            self.step('routed')
+            return server
+
+        self.node.router.pick = traced_pick
+        self.node.start()
+        self.node.announce_server(self.service, slots, cold=False)
+        self.spawn(self._renew())
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def serve(self, channel: FakeChannel) -> None:
+        self.spawn(self.node.peer_server.serve(channel))
+
+    def kill(self) -> None:
+        self.is_alive = False
+        self.node.close()
+        for task in list(self.tasks):
+            task.cancel()
+        for channel in self.world.network.channels:
+            if channel.own == self.name:
+                channel.close()
+
+    def freeze(self) -> None:
+        self.clock.thawed.clear()
+
+    def thaw(self) -> None:
+        self.clock.thawed.set()
+
+    async def _renew(self) -> None:
+        while True:
+            await asyncio.sleep(1)
+            if self.clock.thawed.is_set() and not self.node.is_stopping:
+                self.node.renew_server()
+
+
+class World:
+    """A few hosts, a network and a log."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.seed = seed
+        self.truth = Truth()
+        self.log = FakeLog()
+        self.network = FakeNetwork(self._network_step)
+        self.host_by_name: dict[str, FakeHost] = {}
+        self.callees: dict[str, str] = {}
+        self.on_step: Callable[[str, FakeHost | None, object], None] | None = (
+            None
+        )
+        self.seeds: tuple[str, ...] = ()
+
+    def step(self, name: str, host: FakeHost | None, message: object) -> None:
+        if self.on_step is not None:
+            self.on_step(name, host, message)
+
+    def _network_step(self, name: str, message: Message) -> None:
+        self.step(name, None, message)
+
+    def add(self, name: str, service: str, domain: str) -> FakeHost:
+        host = FakeHost(self, name, service, domain)
+        self.host_by_name[name] = host
+        return host
+
+    async def publish(self, *documents: dict) -> None:
+        for document in documents:
+            raw = json.dumps(document).encode()
+            await self.log.append('policy', raw)
+
+    async def settle(self, duration_s: float = 4) -> None:
+        await asyncio.sleep(duration_s)
+
+    def close(self) -> None:
+        for host in self.host_by_name.values():
+            host.thaw()
+            host.kill()
+
+
+def record(
+    subject: str, body: dict, based_on: int | None = None, **more
+) -> dict:
+    """Return a policy record with an id made from its content."""
+    schema = more.get('schema', 2)
+    record_id = more.get('record_id') or f'{subject}-{based_on}-{schema}'
+    return {
+        'schema': schema,
+        'id': record_id,
+        'subject': subject,
+        'based_on': based_on,
+        'body': body,
+    }
+
+
+def operation(level: int = 1, idempotent: bool = True, *callees: str) -> dict:
+    """Return an operation of schema 2."""
+    return {
+        'level': level,
+        'idempotent': idempotent,
+        'callees': list(callees),
+        'timeout_ms': 2000,
+    }
+
+
+def state_of(*documents: dict) -> AcceptedState:
+    """Return the state after records at offsets from 0 on."""
+    state = AcceptedState()
+    for offset, document in enumerate(documents):
+        state.apply(offset, json.dumps(document).encode())
+    return state
+
+
+def is_refused(outcome) -> bool:
+    """Whether an outcome says "not run"."""
+    return isinstance(outcome, NotRun)
--- /dev/null
+++ b/bergamotmount/ticket.py
@@ -0,0 +1,87 @@
+"""Tickets: each names the only process that may run a non-idempotent request.
+
+A ticket is minted for a home, one incarnation of one node. Only that process
+runs the request, and it remembers the ticket until it expires. No table ever
+changes hands, so nothing needs fencing; the price is that the outcome stays
+unknown when the home is lost::
+
+    text = TicketMint(key).mint('billhouse', 'billhouse-1', 7, expiry_ms)
+    ticket = TicketMint(key).read(text)
+    assert ticket.home == 'billhouse-1'
+"""
+
+import dataclasses
+import hashlib
+import hmac
+import secrets
+
+_SEPARATOR = '~'
+_FIELDS = 6
+_MAC_BYTES = 12
+_ID_BYTES = 9
+
+#: Longest ticket that is looked at, in characters.
+MAX_TICKET_LENGTH = 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """Permission to run one request at one process.
+
+    ``expiry_ms`` is the home's wall time in milliseconds; only the home
+    compares it with a clock, so clocks of other hosts don't matter.
+    """
+
+    ticket_id: str
+    service: str
+    home: str
+    incarnation: int
+    expiry_ms: int
+
+
+class TicketMint:
+    """Writes and reads tickets under a key that all nodes share."""
+
+    def __init__(self, key: str) -> None:
+        """Use ``key``, the ``ticket_key`` of the settings."""
+        self._key = key.encode()
+
+    def mint(
+        self,
+        service: str,
+        home: str,
+        incarnation: int,
+        expiry_ms: int,
+    ) -> str:
+        """Return the text of a new ticket."""
+        ticket_id = secrets.token_hex(_ID_BYTES)
+        fields = (ticket_id, service, home, str(incarnation), str(expiry_ms))
+        text = _SEPARATOR.join(fields)
+        return f'{text}{_SEPARATOR}{self._mac(text)}'
+
+    def read(self, text: str) -> Ticket | None:
+        """Return the ticket, or ``None`` if this fleet never minted it."""
+        if len(text) > MAX_TICKET_LENGTH:
+            return None
+        fields = text.split(_SEPARATOR)
+        if len(fields) != _FIELDS:
+            return None
+        signed, _, mac = text.rpartition(_SEPARATOR)
+        if not hmac.compare_digest(self._mac(signed).encode(), mac.encode()):
+            return None
+        ticket_id, service, home, incarnation, expiry_ms, _ = fields
+        return Ticket(
+            ticket_id,
+            service,
+            home,
+            int(incarnation),
+            int(expiry_ms),
+        )
+
+    def _mac(self, text: str) -> str:
+        digest = hashlib.blake2b(
+            text.encode(),
+            key=self._key,
+            digest_size=_MAC_BYTES,
+        )
+        return digest.hexdigest()
--- /dev/null
+++ b/bergamotmount/ticketissuer.py
@@ -0,0 +1,47 @@
+"""Issue of tickets for homes that the router picks."""
+
+from bergamotmount.clock import Clock
+from bergamotmount.member import Member
+from bergamotmount.routing import Router
+from bergamotmount.ticket import Ticket, TicketMint
+
+
+class TicketIssuer:
+    """Gives out tickets to callers and for calls between services."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        router: Router,
+        mint: TicketMint,
+        life_ms: int,
+    ) -> None:
+        """Issue tickets that last ``life_ms`` milliseconds."""
+        self._clock = clock
+        self._router = router
+        self._mint = mint
+        self._life_ms = life_ms
+
+    def for_service(self, service: str, avoid: str = '') -> str:
+        """Return a ticket for a service, empty when no server is known.
+
+        ``avoid`` names a node that is chosen only if there is no other.
+        """
+        server = None
+        if avoid:
+            server = self._router.pick(service, (avoid,))
+        server = server or self._router.pick(service, ())
+        return self.for_server(server) if server else ''
+
+    def for_server(self, server: Member) -> str:
+        """Return a ticket that only this incarnation of a server may run."""
+        return self._mint.mint(
+            server.service,
+            server.node,
+            server.incarnation,
+            self._clock.wall_ms() + self._life_ms,
+        )
+
+    def read(self, text: str) -> Ticket | None:
+        """Return the ticket, or ``None`` if this fleet never issued it."""
+        return self._mint.read(text)
--- /dev/null
+++ b/bergamotmount/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Companion programs: stand-ins, demo and benchmarks."""
--- /dev/null
+++ b/bergamotmount/tools/fleet.py
@@ -0,0 +1,287 @@
+"""Starts and stops the processes of a small fleet, for demo and benchmarks.
+
+The programs of the project start no process themselves; this tool stands in
+for the hosts that would start them.
+"""
+
+import asyncio
+import configparser
+import dataclasses
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import Iterable
+
+import aiohttp
+
+from bergamotmount.tools.deployments import (
+    FAILURE_DOMAINS,
+    Deployment,
+    ServiceFigures,
+)
+from bergamotmount.tools.process import free_addresses
+
+#: How long processes may take to come up.
+READY_TIMEOUT_S = 40
+
+#: How long a process may take to end before it is killed.
+STOP_TIMEOUT_S = 20
+
+_TICKET_KEY = 'demo-ticket-key-0123456789'
+_POLL_S = 0.1
+_SEEDS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeAddresses:
+    """Where one node and its backend server are reached."""
+
+    name: str
+    service: str
+    failure_domain: str
+    peers: str
+    callers: str
+    admin: str
+    server: str
+    figures: ServiceFigures
+
+
+class Fleet:
+    """Processes of one deployment: log, nodes and backend servers."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        overrides: dict[str, dict[str, str]] | None = None,
+    ) -> None:
+        """Plan the fleet; ``overrides`` are settings of each node."""
+        self.deployment = deployment
+        self.node_by_name: dict[str, NodeAddresses] = {}
+        self.control_by_service: dict[str, str] = {}
+        self.log_address = free_addresses(1)[0]
+        self._overrides = overrides or {}
+        self._process_by_name: dict[str, asyncio.subprocess.Process] = {}
+        self._folder = tempfile.TemporaryDirectory(prefix='bergamotmount-')
+        self._plan()
+
+    @property
+    def log_url(self) -> str:
+        """URL of the log stand-in."""
+        return f'http://{self.log_address}'
+
+    async def start_log(self) -> None:
+        """Start the log stand-in."""
+        await self._start(
+            'log',
+            'bergamotmount.tools.standin_log',
+            '--listen',
+            self.log_address,
+        )
+
+    async def start_servers(self) -> None:
+        """Start the stand-ins of all backend servers."""
+        for service in self.deployment.service_by_name:
+            path = self._write_json(service, self._server_spec(service))
+            module = 'bergamotmount.tools.standin_server'
+            await self._start(f'servers-{service}', module, path)
+
+    async def start_nodes(self, names: Iterable[str] | None = None) -> None:
+        """Start nodes, all of them by default."""
+        for name in names or self.node_by_name:
+            path = self._write_settings(self.node_by_name[name])
+            await self._start(name, 'bergamotmount', '--config', path)
+
+    async def wait_ready(self) -> None:
+        """Wait until each node sees all servers in service and has policy."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            async with aiohttp.ClientSession() as session:
+                while not await self._all_ready(session):
+                    await asyncio.sleep(_POLL_S)
+
+    async def wait_up(self) -> None:
+        """Wait until all nodes answer on their admin addresses."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            async with aiohttp.ClientSession() as session:
+                for node in self.node_by_name.values():
+                    while await status_of(session, node) is None:
+                        await asyncio.sleep(_POLL_S)
+
+    async def kill(self, name: str) -> None:
+        """Kill one process at once."""
+        process = self._process_by_name.pop(name)
+        process.send_signal(signal.SIGKILL)
+        await process.wait()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self._process_by_name[name].send_signal(number)
+
+    def pid(self, name: str) -> int:
+        """Return the process id of one process."""
+        return self._process_by_name[name].pid
+
+    async def stop_gracefully(self, name: str) -> int:
+        """Stop one process and return its exit code."""
+        process = self._process_by_name.pop(name)
+        process.terminate()
+        return await process.wait()
+
+    async def stop(self) -> None:
+        """Stop all processes, nodes first."""
+        nodes = self._process_by_name.keys() & self.node_by_name.keys()
+        await self._stop_processes(nodes)
+        await self._stop_processes(self._process_by_name.keys() - nodes)
+        self._process_by_name.clear()
+        self._folder.cleanup()
+
+    async def truth(self) -> dict[str, dict]:
+        """Return what the backend servers really ran, by service."""
+        truth_by_service = {}
+        async with aiohttp.ClientSession() as session:
+            for service, control in self.control_by_service.items():
+                async with session.get(f'http://{control}/truth') as response:
+                    truth_by_service[service] = await response.json()
+        return truth_by_service
+
+    async def tune(self, service: str, **tuning: float) -> None:
+        """Change the behaviour of a service's backend servers."""
+        url = f'http://{self.control_by_service[service]}/control'
+        async with aiohttp.ClientSession() as session:
+            await session.post(url, json=tuning)
+
+    async def control_log(self, **switches: object) -> None:
+        """Switch faults of the log stand-in."""
+        async with aiohttp.ClientSession() as session:
+            await session.post(f'{self.log_url}/control', json=switches)
+
+    def _plan(self) -> None:
+        for service, figures in self.deployment.service_by_name.items():
+            self.control_by_service[service] = free_addresses(1)[0]
+            for index in range(figures.servers):
+                domain = FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
+                name = f'{service}-{index + 1}'
+                addresses = free_addresses(4)
+                self.node_by_name[name] = NodeAddresses(
+                    name,
+                    service,
+                    domain,
+                    *addresses,
+                    figures=figures,
+                )
+
+    def _server_spec(self, service: str) -> dict:
+        operations = {
+            name: {
+                'service_ms': operation.service_ms,
+                'callees': operation.callees,
+            }
+            for name, operation in self.deployment.operations_of(
+                service,
+            ).items()
+        }
+        servers = [
+            {
+                'listen': node.server,
+                'callers_url': f'http://{node.callers}',
+                'admin_url': f'http://{node.admin}',
+                'slots': node.figures.slots,
+            }
+            for node in self.node_by_name.values()
+            if node.service == service
+        ]
+        return {
+            'service': service,
+            'control': self.control_by_service[service],
+            'operations': operations,
+            'servers': servers,
+        }
+
+    def _write_json(self, name: str, document: dict) -> str:
+        path = os.path.join(self._folder.name, f'{name}.json')
+        with open(path, 'w', encoding='utf-8') as sink:
+            json.dump(document, sink)
+        return path
+
+    def _write_settings(self, node: NodeAddresses) -> str:
+        seeds = [each.peers for each in self.node_by_name.values()][:_SEEDS]
+        parser = configparser.ConfigParser()
+        parser.read_dict(
+            {
+                'node': {
+                    'name': node.name,
+                    'region': self.deployment.region,
+                    'failure_domain': node.failure_domain,
+                },
+                'listen': {
+                    'peers': node.peers,
+                    'callers': node.callers,
+                    'admin': node.admin,
+                },
+                'server': {
+                    'url': f'http://{node.server}',
+                    'connections': str(node.figures.connections),
+                },
+                'join': {'seeds': ', '.join(seeds), 'log_url': self.log_url},
+                'tickets': {'key': _TICKET_KEY},
+                'log': {'level': 'warning'},
+            }
+        )
+        parser.read_dict(self._overrides)
+        path = os.path.join(self._folder.name, f'{node.name}.ini')
+        with open(path, 'w', encoding='utf-8') as sink:
+            parser.write(sink)
+        return path
+
+    async def _start(self, name: str, module: str, *arguments: str) -> None:
+        self._process_by_name[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            module,
+            *arguments,
+            start_new_session=True,
+        )
+
+    async def _stop_processes(self, names: Iterable[str]) -> None:
+        processes = [self._process_by_name[name] for name in names]
+        for process in processes:
+            if process.returncode is None:
+                process.terminate()
+        await asyncio.gather(*map(_wait_or_kill, processes))
+
+    async def _all_ready(self, session: aiohttp.ClientSession) -> bool:
+        expected = len(self.node_by_name)
+        for node in self.node_by_name.values():
+            status = await status_of(session, node)
+            if status is None or status['policy_offset'] < 0:
+                return False
+            serving = [
+                member
+                for member in status['members']
+                if member['state'] == 'serving' and member['slots']
+            ]
+            if len(serving) < expected:
+                return False
+        return True
+
+
+async def status_of(
+    session: aiohttp.ClientSession,
+    node: NodeAddresses,
+) -> dict | None:
+    """Return the status of a node, ``None`` when it doesn't answer."""
+    try:
+        async with session.get(f'http://{node.admin}/status') as response:
+            return await response.json()
+    except (aiohttp.ClientError, OSError):
+        return None
+
+
+async def _wait_or_kill(process: asyncio.subprocess.Process) -> None:
+    try:
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            await process.wait()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
--- /dev/null
+++ b/bergamotmount/tools/process.py
@@ -0,0 +1,50 @@
+"""What the companion programs need to run as processes."""
+
+import asyncio
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+
+import uvloop
+from aiohttp import web
+
+
+#: Closes something that a program opened.
+Closer = Callable[[], Awaitable[None]]
+
+
+def run_until_signal(start: Callable[[], Awaitable[list[Closer]]]) -> None:
+    """Run ``start``, wait for SIGTERM or SIGINT, then close all it opened."""
+
+    async def run() -> None:
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        closers = await start()
+        await stopping.wait()
+        for close in closers:
+            await close()
+
+    uvloop.run(run())
+
+
+async def start_site(runner: web.BaseRunner, address: str) -> Closer:
+    """Serve HTTP on ``ip:port`` and return what ends it."""
+    host, _, port = address.rpartition(':')
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    return runner.cleanup
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses with ports that are free now."""
+    sockets = []
+    for _ in range(count):
+        probe = socket.socket()
+        probe.bind(('127.0.0.1', 0))
+        sockets.append(probe)
+    addresses = [f'127.0.0.1:{each.getsockname()[1]}' for each in sockets]
+    for probe in sockets:
+        probe.close()
+    return addresses
--- /dev/null
+++ b/bergamotmount/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between nodes: frames, codec and TCP channels."""
--- /dev/null
+++ b/bergamotmount/wire/codec.py
@@ -0,0 +1,304 @@
+"""Translation between messages and the bytes of thrift's binary protocol."""
+
+import enum
+from collections.abc import Callable
+from typing import TypeVar
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from bergamotmount import messages
+from bergamotmount.member import Member, MemberState
+from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
+from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
+from bergamotmount.threshold import ThresholdReport
+from bergamotmount.wire.frames import FrameError
+from bergamotmount.wire.gen import ttypes
+
+_Field = TypeVar('_Field')
+
+#: Longest list that is read, in elements.
+MAX_LIST = 100_000
+
+
+class Kind(enum.IntEnum):
+    """Which struct a frame carries."""
+
+    CALL = 1
+    ANSWER = 2
+    CANCEL = 3
+    HEARTBEAT = 4
+    PING = 5
+    POLICY_FETCH = 6
+    POLICY_RECORDS = 7
+    POLICY_STATE = 8
+
+
+class _WireOutcome(enum.IntEnum):
+    ANSWERED = 0
+    NOT_RUN = 1
+    UNKNOWN = 2
+
+
+def encode(message: messages.Message) -> tuple[Kind, bytes]:
+    """Return kind and payload of a message."""
+    kind, to_wire = _ENCODERS[type(message)]
+    buffer = TMemoryBuffer()
+    to_wire(message).write(TBinaryProtocolAccelerated(buffer))
+    return kind, buffer.getvalue()
+
+
+def decode(kind: int, payload: bytes) -> messages.Message:
+    """Return the message in a payload.
+
+    Raise :class:`FrameError` when the kind is unknown or the payload isn't
+    the struct that the kind names.
+    """
+    struct_type, from_wire = _DECODERS.get(kind, (None, None))
+    if struct_type is None:
+        raise FrameError(DropReason.FRAME_KIND)
+    wire = struct_type()
+    protocol = TBinaryProtocolAccelerated(
+        TMemoryBuffer(payload),
+        string_length_limit=len(payload),
+        container_length_limit=MAX_LIST,
+    )
+    try:
+        wire.read(protocol)
+        return from_wire(wire)
+    except Exception as error:
+        raise FrameError(DropReason.FRAME_MALFORMED) from error
+
+
+def _call_to_wire(call: messages.Call) -> ttypes.Call:
+    return ttypes.Call(
+        call.attempt,
+        call.root,
+        call.rank,
+        call.remaining_ms,
+        call.tokens,
+        call.service,
+        call.operation,
+        call.method,
+        call.headers,
+        call.body,
+        call.ticket,
+        call.idempotent,
+        call.depth,
+    )
+
+
+def _call_from_wire(wire: ttypes.Call) -> messages.Call:
+    return messages.Call(
+        _present(wire.attempt),
+        _present(wire.root),
+        _present(wire.rank),
+        _present(wire.remaining_ms),
+        _present(wire.tokens),
+        _present(wire.service_name),
+        _present(wire.operation),
+        _present(wire.method),
+        _present(wire.headers),
+        _present(wire.body),
+        wire.ticket or '',
+        _present(wire.idempotent),
+        wire.depth or 0,
+    )
+
+
+def _answer_to_wire(answer: messages.Answer) -> ttypes.Answer:
+    wire = ttypes.Answer(
+        attempt=answer.attempt,
+        tokens=answer.tokens,
+        load_permille=answer.load_permille,
+        threshold=answer.threshold,
+        thresholds=_thresholds_to_wire(answer.thresholds),
+    )
+    match answer.outcome:
+        case Answered(status, headers, body):
+            wire.outcome = _WireOutcome.ANSWERED
+            wire.status = status
+            wire.headers = headers
+            wire.body = body
+        case NotRun(reason, retry_after_ms, ticket, detail):
+            wire.outcome = _WireOutcome.NOT_RUN
+            wire.reason = reason
+            wire.retry_after_ms = retry_after_ms
+            wire.ticket = ticket
+            wire.detail = detail
+        case Unknown(reason):
+            wire.outcome = _WireOutcome.UNKNOWN
+            wire.reason = reason
+    return wire
+
+
+def _answer_from_wire(wire: ttypes.Answer) -> messages.Answer:
+    return messages.Answer(
+        attempt=_present(wire.attempt),
+        outcome=_outcome_from_wire(wire),
+        tokens=wire.tokens or 0,
+        threshold=_present(wire.threshold),
+        thresholds=_thresholds_from_wire(wire.thresholds),
+        load_permille=wire.load_permille or 0,
+    )
+
+
+def _outcome_from_wire(wire: ttypes.Answer) -> Outcome:
+    match wire.outcome:
+        case _WireOutcome.ANSWERED:
+            return Answered(
+                _present(wire.status),
+                _present(wire.headers),
+                _present(wire.body),
+            )
+        case _WireOutcome.NOT_RUN:
+            return NotRun(
+                RefusalReason(wire.reason),
+                wire.retry_after_ms or 0,
+                wire.ticket or '',
+                wire.detail or '',
+            )
+        case _WireOutcome.UNKNOWN:
+            return Unknown(UnknownReason(wire.reason))
+        case _:
+            raise FrameError(DropReason.FRAME_MALFORMED)
+
+
+def _thresholds_to_wire(
+    reports: dict[str, ThresholdReport],
+) -> list[ttypes.Threshold]:
+    return [
+        ttypes.Threshold(service, report.rank, report.age_ms)
+        for service, report in reports.items()
+    ]
+
+
+def _thresholds_from_wire(
+    thresholds: list[ttypes.Threshold] | None,
+) -> dict[str, ThresholdReport]:
+    return {
+        wire.service_name: ThresholdReport(wire.rank, wire.age_ms or 0)
+        for wire in thresholds or ()
+    }
+
+
+def _member_to_wire(member: Member) -> ttypes.Member:
+    return ttypes.Member(
+        member.node,
+        member.address,
+        member.region,
+        member.failure_domain,
+        member.incarnation,
+        member.version,
+        member.state,
+        member.service,
+        member.slots,
+        member.admin,
+    )
+
+
+def _member_from_wire(wire: ttypes.Member) -> Member:
+    return Member(
+        _present(wire.node),
+        _present(wire.address),
+        _present(wire.region),
+        _present(wire.failure_domain),
+        _present(wire.incarnation),
+        _present(wire.version),
+        MemberState(wire.state),
+        wire.service_name or '',
+        wire.slots or 0,
+        wire.admin or '',
+    )
+
+
+def _heartbeat_to_wire(heartbeat: messages.Heartbeat) -> ttypes.Heartbeat:
+    return ttypes.Heartbeat(
+        heartbeat.sequence,
+        heartbeat.reply,
+        [_member_to_wire(member) for member in heartbeat.members],
+        heartbeat.digest,
+        heartbeat.policy_offset,
+        _thresholds_to_wire(heartbeat.thresholds),
+        heartbeat.full,
+        heartbeat.release,
+        heartbeat.threshold,
+        heartbeat.load_permille,
+    )
+
+
+def _heartbeat_from_wire(wire: ttypes.Heartbeat) -> messages.Heartbeat:
+    return messages.Heartbeat(
+        sequence=_present(wire.sequence),
+        reply=_present(wire.reply),
+        members=[_member_from_wire(member) for member in wire.members or ()],
+        digest=_present(wire.digest),
+        policy_offset=_present(wire.policy_offset),
+        threshold=_present(wire.threshold),
+        thresholds=_thresholds_from_wire(wire.thresholds),
+        load_permille=wire.load_permille or 0,
+        full=bool(wire.full),
+        release=wire.release or '',
+    )
+
+
+def _present(field: _Field | None) -> _Field:
+    if field is None:
+        raise FrameError(DropReason.FRAME_MALFORMED)
+    return field
+
+
+_Encoder = tuple[Kind, Callable]
+_Decoder = tuple[type, Callable]
+
+_ENCODERS: dict[type, _Encoder] = {
+    messages.Call: (Kind.CALL, _call_to_wire),
+    messages.Answer: (Kind.ANSWER, _answer_to_wire),
+    messages.Cancel: (
+        Kind.CANCEL,
+        lambda cancel: ttypes.Cancel(cancel.attempt),
+    ),
+    messages.Heartbeat: (Kind.HEARTBEAT, _heartbeat_to_wire),
+    messages.Ping: (Kind.PING, lambda ping: ttypes.Ping(ping.reply)),
+    messages.PolicyFetch: (
+        Kind.POLICY_FETCH,
+        lambda fetch: ttypes.PolicyFetch(fetch.known_offset),
+    ),
+    messages.PolicyRecords: (
+        Kind.POLICY_RECORDS,
+        lambda batch: ttypes.PolicyRecords(batch.first_offset, batch.records),
+    ),
+    messages.PolicyState: (
+        Kind.POLICY_STATE,
+        lambda state: ttypes.PolicyState(state.offset, state.state),
+    ),
+}
+
+_DECODERS: dict[int, _Decoder] = {
+    Kind.CALL: (ttypes.Call, _call_from_wire),
+    Kind.ANSWER: (ttypes.Answer, _answer_from_wire),
+    Kind.CANCEL: (
+        ttypes.Cancel,
+        lambda wire: messages.Cancel(_present(wire.attempt)),
+    ),
+    Kind.HEARTBEAT: (ttypes.Heartbeat, _heartbeat_from_wire),
+    Kind.PING: (ttypes.Ping, lambda wire: messages.Ping(bool(wire.reply))),
+    Kind.POLICY_FETCH: (
+        ttypes.PolicyFetch,
+        lambda wire: messages.PolicyFetch(_present(wire.known_offset)),
+    ),
+    Kind.POLICY_RECORDS: (
+        ttypes.PolicyRecords,
+        lambda wire: messages.PolicyRecords(
+            _present(wire.first_offset),
+            _present(wire.records),
+        ),
+    ),
+    Kind.POLICY_STATE: (
+        ttypes.PolicyState,
+        lambda wire: messages.PolicyState(
+            _present(wire.offset),
+            _present(wire.state),
+        ),
+    ),
+}
--- /dev/null
+++ b/bergamotmount/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/bergamotmount/wire/messages.thrift
@@ -0,0 +1,93 @@
+/**
+ * Messages between nodes. One frame carries one of these structs; the frame
+ * header names which. Durations are in milliseconds, ranks are doubles from
+ * 0 (most important) upwards. Fields are only ever added, never renumbered.
+ */
+
+namespace py bergamotmount.wire.gen
+
+struct Call {
+  1: i64 attempt
+  2: string root
+  3: double rank
+  4: i32 remaining_ms
+  5: i16 tokens
+  6: string service_name
+  7: string operation
+  8: string method
+  9: list<string> headers
+  10: binary body
+  11: string ticket
+  12: bool idempotent
+  13: i16 depth
+}
+
+struct Threshold {
+  1: string service_name
+  2: double rank
+  3: i32 age_ms
+}
+
+struct Answer {
+  1: i64 attempt
+  2: i16 outcome
+  3: i16 status
+  4: string reason
+  5: list<string> headers
+  6: binary body
+  7: i16 tokens
+  8: i32 retry_after_ms
+  9: list<Threshold> thresholds
+  10: i32 load_permille
+  11: string ticket
+  12: string detail
+  13: double threshold
+}
+
+struct Cancel {
+  1: i64 attempt
+}
+
+struct Member {
+  1: string node
+  2: string address
+  3: string region
+  4: string failure_domain
+  5: i64 incarnation
+  6: i64 version
+  7: i16 state
+  8: string service_name
+  9: i32 slots
+  10: string admin
+}
+
+struct Heartbeat {
+  1: i64 sequence
+  2: bool reply
+  3: list<Member> members
+  4: i64 digest
+  5: i64 policy_offset
+  6: list<Threshold> thresholds
+  7: bool full
+  8: string release
+  9: double threshold
+  10: i32 load_permille
+}
+
+struct Ping {
+  1: bool reply
+}
+
+struct PolicyFetch {
+  1: i64 known_offset
+}
+
+struct PolicyRecords {
+  1: i64 first_offset
+  2: list<binary> records
+}
+
+struct PolicyState {
+  1: i64 offset
+  2: binary state
+}
