--- a/bergamotmount/admission.py
+++ b/bergamotmount/admission.py
@@ -89,11 +89,14 @@
         queue by itself.
         """
         self._controller.arrived(rank, self._queue_share())
-        if not self.limit.current():
+        limit = self.limit.current()
+        if not limit:
             return RefusalReason.NOT_SERVING
-        if not self._can_finish(deadline_ms, self._ahead_of(rank)):
+        has_room = self.in_flight < limit
+        ahead = 0 if has_room else self._ahead_of(rank)
+        if not self._can_finish(deadline_ms, ahead):
             return self._refused(RefusalReason.DEADLINE_TOO_CLOSE)
-        if self.in_flight < self.limit.current() and not self._waiters:
+        if has_room and not self._waiters:
             self.in_flight += 1
             return None
         if not self._make_room(rank):
@@ -181,8 +184,6 @@
         return reason
 
     def _ahead_of(self, rank: float) -> int:
-        if self.in_flight < self.limit.current():
-            return 0
         ahead = bisect.bisect_right(
             self._waiters,
             rank,
@@ -192,14 +193,17 @@
 
     def _can_finish(self, deadline_ms: float, ahead: int) -> bool:
         service_ms = self.service_time.current_ms()
-        wait_ms = ahead * service_ms / max(self.limit.current(), 1)
-        finish_ms = self._clock.now_ms() + wait_ms + service_ms
+        finish_ms = self._clock.now_ms() + service_ms
+        if ahead:
+            finish_ms += ahead * service_ms / max(self.limit.current(), 1)
         return finish_ms < deadline_ms
 
     def _queue_bound(self) -> int:
         return max(MIN_QUEUE, int(self.limit.current() * QUEUE_PER_SLOT))
 
     def _queue_share(self) -> float:
+        if not self._waiters:
+            return 0
         return len(self._waiters) / self._queue_bound()
 
 
--- a/bergamotmount/clock.py
+++ b/bergamotmount/clock.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 MS_PER_SECOND = 1000
 
@@ -42,6 +43,17 @@
         """Suspend the calling task for ``duration_ms`` milliseconds."""
         await asyncio.sleep(max(duration_ms, 0) / MS_PER_SECOND)
 
+    def call_later(
+        self,
+        delay_ms: float,
+        callback: Callable,
+        *arguments: object,
+    ) -> asyncio.TimerHandle:
+        """Call a function after a delay; the handle can cancel that."""
+        loop = asyncio.get_running_loop()
+        delay_s = max(delay_ms, 0) / MS_PER_SECOND
+        return loop.call_later(delay_s, callback, *arguments)
+
     def timeout(self, duration_ms: float) -> asyncio.Timeout:
         """Return a context that raises ``TimeoutError`` after a duration.
 
--- a/bergamotmount/daemon.py
+++ b/bergamotmount/daemon.py
@@ -106,6 +106,7 @@
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_log_exception)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         await self.start()
@@ -206,6 +207,10 @@
     _node_log.info('HTTP is served on {}.', address)
 
 
+def _log_exception(_loop: object, context: dict[str, object]) -> None:
+    _node_log.error('{}: {!r}.', context['message'], context.get('exception'))
+
+
 def _follow_events() -> None:
     events.record_decided.connect(_log_verdict)
     events.policy_accepted.connect(_log_policy)
--- a/bergamotmount/link.py
+++ b/bergamotmount/link.py
@@ -35,6 +35,8 @@
 #: Unused links are closed after this time.
 IDLE_MS = 60_000
 
+_LATE = Lost(by_deadline=True)
+
 #: Called with a peer's address and a message that isn't an answer.
 Receiver = Callable[[str, Message], None]
 
@@ -131,17 +133,19 @@
         waiting: 'asyncio.Future[Reply]',
         deadline_ms: float,
     ) -> Reply:
+        remaining_ms = deadline_ms - self._clock.now_ms()
+        timer = self._clock.call_later(remaining_ms, _expire, waiting)
         try:
-            async with self._clock.timeout(deadline_ms - self._clock.now_ms()):
-                return await waiting
-        except TimeoutError:
-            _cancel_attempt(channel, call.attempt)
-            return Lost(by_deadline=True)
+            reply = await waiting
         except asyncio.CancelledError:
             _cancel_attempt(channel, call.attempt)
             raise
         finally:
+            timer.cancel()
             self._waiting_by_attempt.pop(call.attempt, None)
+        if reply is _LATE:
+            _cancel_attempt(channel, call.attempt)
+        return reply
 
     async def _open(self) -> Channel | None:
         async with self._opening:
@@ -275,6 +279,11 @@
         self._link_by_address.clear()
 
 
+def _expire(waiting: 'asyncio.Future[Reply]') -> None:
+    if not waiting.done():
+        waiting.set_result(_LATE)
+
+
 def _cancel_attempt(channel: Channel, attempt: int) -> None:
     _send_quietly(channel, Cancel(attempt))
 
--- /dev/null
+++ b/bergamotmount/tests/test_codec.py
@@ -0,0 +1,199 @@
+"""Tests of the codec and the frames."""
+
+import asyncio
+import random
+import unittest
+
+from bergamotmount import messages
+from bergamotmount.counters import Counters
+from bergamotmount.member import Member, MemberState
+from bergamotmount.outcomes import Answered, NotRun, Unknown
+from bergamotmount.ports import ChannelError
+from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
+from bergamotmount.tests.fakes import CountingCounters
+from bergamotmount.threshold import ThresholdReport
+from bergamotmount.wire.codec import Kind, decode, encode
+from bergamotmount.wire.frames import (
+    HEADER_BYTES,
+    FrameError,
+    pack_frame,
+    read_frame,
+)
+from bergamotmount.wire.tcp import PeerListener, TcpChannel, TcpDialer
+
+MEMBER = Member(
+    'a-1',
+    '127.0.0.1:1',
+    'r',
+    'fd',
+    7,
+    3,
+    MemberState.DRAINING,
+    'a',
+    5,
+    '127.0.0.1:2',
+)
+CALL = messages.Call(
+    1,
+    'root',
+    1.5,
+    900,
+    2,
+    'a',
+    'read',
+    'PUT',
+    ['x', 'y'],
+    b'\x00\xff',
+    'ticket',
+    False,
+    4,
+)
+MESSAGES = (
+    CALL,
+    messages.Answer(
+        2,
+        Answered(201, ['a', 'b'], b'body'),
+        1,
+        2.5,
+        {'b': ThresholdReport(0.5, 30)},
+        700,
+    ),
+    messages.Answer(3, NotRun(RefusalReason.QUEUE_FULL, 120, 't', 'why')),
+    messages.Answer(4, Unknown(UnknownReason.ANSWER_LOST)),
+    messages.Cancel(5),
+    messages.Heartbeat(
+        6,
+        False,
+        [MEMBER],
+        9,
+        17,
+        0.25,
+        {'a': ThresholdReport(1.0)},
+        40,
+        True,
+        '0.1.0',
+    ),
+    messages.Ping(reply=True),
+    messages.PolicyFetch(-1),
+    messages.PolicyRecords(3, [b'one', b'two']),
+    messages.PolicyState(4, b'state'),
+)
+
+
+class CodecTest(unittest.TestCase):
+    """Every message survives the way to bytes and back."""
+
+    def test_round_trip(self):
+        for message in MESSAGES:
+            with self.subTest(message=message):
+                self.assertEqual(decode(*encode(message)), message)
+
+    def test_unknown_kind_is_refused(self):
+        with self.assertRaises(FrameError) as caught:
+            decode(99, b'')
+        self.assertEqual(caught.exception.reason, DropReason.FRAME_KIND)
+
+    def test_garbage_is_malformed_and_nothing_else(self):
+        rng = random.Random(1)
+        for kind in Kind:
+            for length in range(64):
+                with self.assertRaises(FrameError, msg=f'{kind} {length}'):
+                    decode(kind, b'\x08' + rng.randbytes(length))
+
+    def test_truncated_messages_are_malformed(self):
+        kind, payload = encode(CALL)
+        for length in range(len(payload) - 1):
+            with self.assertRaises(FrameError):
+                decode(kind, payload[:length])
+
+
+class FrameTest(unittest.IsolatedAsyncioTestCase):
+    """Whatever is no whole valid frame is refused with its reason."""
+
+    async def test_a_frame_is_read_back(self):
+        kind, payload = await self.read(pack_frame(3, b'payload'))
+        self.assertEqual((kind, payload), (3, b'payload'))
+
+    async def test_end_between_frames(self):
+        with self.assertRaises(EOFError):
+            await self.read(b'')
+
+    async def test_truncated_frames(self):
+        frame = pack_frame(3, b'payload')
+        for length in range(1, len(frame) - 1):
+            await self.assert_reason(frame[:length], DropReason.FRAME_TRUNCATED)
+
+    async def test_changed_bits(self):
+        frame = pack_frame(3, b'payload')
+        for position in range(HEADER_BYTES, len(frame)):
+            changed = bytearray(frame)
+            changed[position] ^= 1
+            await self.assert_reason(bytes(changed), DropReason.FRAME_CHECKSUM)
+
+    async def test_changed_kind(self):
+        changed = bytearray(pack_frame(3, b'payload'))
+        changed[HEADER_BYTES - 1] ^= 1
+        await self.assert_reason(bytes(changed), DropReason.FRAME_CHECKSUM)
+
+    async def test_oversized_frames_are_refused_unread(self):
+        frame = pack_frame(3, b'payload')
+        reader = self.reader(frame)
+        with self.assertRaises(FrameError) as caught:
+            await read_frame(reader, max_payload_bytes=6)
+        self.assertEqual(caught.exception.reason, DropReason.FRAME_TOO_LARGE)
+
+    async def assert_reason(self, stream: bytes, reason: DropReason):
+        with self.assertRaises(FrameError) as caught:
+            await self.read(stream)
+        self.assertEqual(caught.exception.reason, reason)
+
+    async def read(self, stream: bytes):
+        return await read_frame(self.reader(stream))
+
+    def reader(self, stream: bytes) -> asyncio.StreamReader:
+        reader = asyncio.StreamReader()
+        reader.feed_data(stream)
+        reader.feed_eof()
+        return reader
+
+
+class TcpTest(unittest.IsolatedAsyncioTestCase):
+    """Bad bytes close their own connection and harm no other."""
+
+    async def asyncSetUp(self):
+        self.counters = CountingCounters()
+        self.listener = PeerListener(self.echo, self.counters)
+        self.address = await self.listener.start('127.0.0.1:0')
+
+    async def asyncTearDown(self):
+        await self.listener.close()
+
+    async def echo(self, channel: TcpChannel):
+        try:
+            while True:
+                channel.send(await channel.receive())
+        except ChannelError:
+            return
+
+    async def test_foreign_bytes_close_only_their_connection(self):
+        good = await TcpDialer(Counters()).open(self.address)
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'GET / HTTP/1.1\r\nHost: example\r\n\r\n')
+        self.assertEqual(await self.read_to_end(reader), b'')
+        writer.close()
+        self.assertEqual(self.counters.counts[DropReason.FRAME_TOO_LARGE], 1)
+        good.send(messages.Ping())
+        self.assertEqual(await good.receive(), messages.Ping())
+        good.close()
+
+    async def test_a_dead_address_is_a_channel_error(self):
+        await self.listener.close()
+        with self.assertRaises(ChannelError):
+            await TcpDialer(Counters()).open(self.address)
+
+    async def read_to_end(self, reader) -> bytes:
+        try:
+            return await reader.read()
+        except ConnectionResetError:
+            return b''
--- a/bergamotmount/tools/fleet.py
+++ b/bergamotmount/tools/fleet.py
@@ -93,6 +93,21 @@
             path = self._write_settings(self.node_by_name[name])
             await self._start(name, 'bergamotmount', '--config', path)
 
+    async def start_tool(self, name: str, tool: str, *arguments: str) -> None:
+        """Start another companion program under a name."""
+        await self._start(name, f'bergamotmount.tools.{tool}', *arguments)
+
+    async def announce(self, node: NodeAddresses) -> None:
+        """Announce a backend server that can't do it itself."""
+        told = {
+            'service': node.service,
+            'slots': node.figures.slots,
+            'cold': False,
+        }
+        url = f'http://{node.admin}/server/announce'
+        async with aiohttp.ClientSession() as session:
+            await session.post(url, json=told)
+
     async def wait_ready(self) -> None:
         """Wait until each node sees all servers in service and has policy."""
         async with asyncio.timeout(READY_TIMEOUT_S):
--- a/bergamotmount/tools/publish.py
+++ b/bergamotmount/tools/publish.py
@@ -40,6 +40,8 @@
     ]
     for index, service in enumerate(fleet.deployment.service_by_name):
         operations = fleet.deployment.operations_of(service)
+        if not operations:
+            continue
         schema = 1 if index == 0 else 2
         documents.append(
             {
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -1,10 +1,11 @@
 """Translation between messages and the bytes of thrift's binary protocol."""
 
+import dataclasses
 import enum
 from collections.abc import Callable
 from typing import TypeVar
 
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.protocol import fastbinary
 from thrift.transport.TTransport import TMemoryBuffer
 
 from bergamotmount import messages
@@ -40,12 +41,20 @@
     UNKNOWN = 2
 
 
+@dataclasses.dataclass(slots=True)
+class _Source:
+    """What the accelerated decoder reads from, and its limits."""
+
+    trans: TMemoryBuffer
+    string_length_limit: int
+    container_length_limit: int = MAX_LIST
+
+
 def encode(message: messages.Message) -> tuple[Kind, bytes]:
     """Return kind and payload of a message."""
-    kind, to_wire = _ENCODERS[type(message)]
-    buffer = TMemoryBuffer()
-    to_wire(message).write(TBinaryProtocolAccelerated(buffer))
-    return kind, buffer.getvalue()
+    kind, struct_type, to_wire = _ENCODERS[type(message)]
+    spec = [struct_type, struct_type.thrift_spec]
+    return kind, fastbinary.encode_binary(to_wire(message), spec)
 
 
 def decode(kind: int, payload: bytes) -> messages.Message:
@@ -58,13 +67,10 @@
     if struct_type is None:
         raise FrameError(DropReason.FRAME_KIND)
     wire = struct_type()
-    protocol = TBinaryProtocolAccelerated(
-        TMemoryBuffer(payload),
-        string_length_limit=len(payload),
-        container_length_limit=MAX_LIST,
-    )
+    spec = [struct_type, struct_type.thrift_spec]
+    source = _Source(TMemoryBuffer(payload), len(payload))
     try:
-        wire.read(protocol)
+        fastbinary.decode_binary(wire, source, spec)
         return from_wire(wire)
     except Exception as error:
         raise FrameError(DropReason.FRAME_MALFORMED) from error
@@ -248,28 +254,36 @@
     return field
 
 
-_Encoder = tuple[Kind, Callable]
+_Encoder = tuple[Kind, type, Callable]
 _Decoder = tuple[type, Callable]
 
 _ENCODERS: dict[type, _Encoder] = {
-    messages.Call: (Kind.CALL, _call_to_wire),
-    messages.Answer: (Kind.ANSWER, _answer_to_wire),
+    messages.Call: (Kind.CALL, ttypes.Call, _call_to_wire),
+    messages.Answer: (Kind.ANSWER, ttypes.Answer, _answer_to_wire),
     messages.Cancel: (
         Kind.CANCEL,
+        ttypes.Cancel,
         lambda cancel: ttypes.Cancel(cancel.attempt),
     ),
-    messages.Heartbeat: (Kind.HEARTBEAT, _heartbeat_to_wire),
-    messages.Ping: (Kind.PING, lambda ping: ttypes.Ping(ping.reply)),
+    messages.Heartbeat: (Kind.HEARTBEAT, ttypes.Heartbeat, _heartbeat_to_wire),
+    messages.Ping: (
+        Kind.PING,
+        ttypes.Ping,
+        lambda ping: ttypes.Ping(ping.reply),
+    ),
     messages.PolicyFetch: (
         Kind.POLICY_FETCH,
+        ttypes.PolicyFetch,
         lambda fetch: ttypes.PolicyFetch(fetch.known_offset),
     ),
     messages.PolicyRecords: (
         Kind.POLICY_RECORDS,
+        ttypes.PolicyRecords,
         lambda batch: ttypes.PolicyRecords(batch.first_offset, batch.records),
     ),
     messages.PolicyState: (
         Kind.POLICY_STATE,
+        ttypes.PolicyState,
         lambda state: ttypes.PolicyState(state.offset, state.state),
     ),
 }
