--- a/bergamotmount/tools/bench_latency.py
+++ b/bergamotmount/tools/bench_latency.py
@@ -24,7 +24,7 @@
     ServiceFigures,
 )
 from bergamotmount.tools.fleet import Fleet
-from bergamotmount.tools.process import free_addresses
+from bergamotmount.tools.process import free_addresses, run_interruptibly
 from bergamotmount.tools.publish import publish_deployment
 
 WAYS = ('direct', 'through', 'bare')
@@ -224,7 +224,7 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument('--rate', type=float, default=200)
     parser.add_argument('--rounds', type=int, default=8)
-    uvloop.run(run(parser.parse_args()))
+    uvloop.run(run_interruptibly(run(parser.parse_args())))
 
 
 if __name__ == '__main__':
--- a/bergamotmount/tools/demo.py
+++ b/bergamotmount/tools/demo.py
@@ -2,14 +2,13 @@
 
 import argparse
 import asyncio
-import contextlib
-import signal
 import sys
 import time
 
 from bergamotmount.tools.deployments import DEPLOYMENT_BY_NAME, Deployment
 from bergamotmount.tools.fleet import Fleet
 from bergamotmount.tools.load import Load, LoadPlan
+from bergamotmount.tools.process import run_interruptibly
 from bergamotmount.tools.publish import publish_deployment
 from bergamotmount.tools.summary import Summary, summarize
 
@@ -88,17 +87,6 @@
     )
 
 
-async def run_interruptibly(deployment: Deployment) -> Summary | None:
-    """Run the demo; SIGINT and SIGTERM end it with all its processes."""
-    task = asyncio.create_task(run(deployment))
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, task.cancel)
-    with contextlib.suppress(asyncio.CancelledError):
-        return await task
-    return None
-
-
 def main() -> None:
     """Run the demo and exit with 1 when a promise was broken."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -109,7 +97,7 @@
     )
     arguments = parser.parse_args()
     deployment = DEPLOYMENT_BY_NAME[arguments.deployment]
-    summary = asyncio.run(run_interruptibly(deployment))
+    summary = asyncio.run(run_interruptibly(run(deployment)))
     if summary is None:
         sys.exit(130)
     print_summary(summary)
--- a/bergamotmount/tools/fleet.py
+++ b/bergamotmount/tools/fleet.py
@@ -55,13 +55,19 @@
         self,
         deployment: Deployment,
         overrides: dict[str, dict[str, str]] | None = None,
+        direct: dict[str, float] | None = None,
     ) -> None:
-        """Plan the fleet; ``overrides`` are settings of each node."""
+        """Plan the fleet; ``overrides`` are settings of each node.
+
+        With ``direct`` the backend servers call each other without nodes;
+        it gives their ``hop_retries`` and ``shed_per_slot``.
+        """
         self.deployment = deployment
         self.node_by_name: dict[str, NodeAddresses] = {}
         self.control_by_service: dict[str, str] = {}
         self.log_address = free_addresses(1)[0]
         self._overrides = overrides or {}
+        self._direct = direct
         self._process_by_name: dict[str, asyncio.subprocess.Process] = {}
         self._folder = tempfile.TemporaryDirectory(prefix='bergamotmount-')
         self._plan()
@@ -200,18 +206,31 @@
             {
                 'listen': node.server,
                 'callers_url': f'http://{node.callers}',
-                'admin_url': f'http://{node.admin}',
+                'admin_url': '' if self._direct else f'http://{node.admin}',
                 'slots': node.figures.slots,
             }
             for node in self.node_by_name.values()
             if node.service == service
         ]
-        return {
+        spec = {
             'service': service,
             'control': self.control_by_service[service],
             'operations': operations,
             'servers': servers,
         }
+        if self._direct:
+            spec['direct_urls'] = self._direct_urls()
+            spec['shed_per_slot'] = self._direct['shed_per_slot']
+            for operation in operations.values():
+                operation['hop_retries'] = self._direct['hop_retries']
+        return spec
+
+    def _direct_urls(self) -> dict[str, list[str]]:
+        urls_by_service: dict[str, list[str]] = {}
+        for node in self.node_by_name.values():
+            urls = urls_by_service.setdefault(node.service, [])
+            urls.append(f'http://{node.server}')
+        return urls_by_service
 
     def _write_json(self, name: str, document: dict) -> str:
         path = os.path.join(self._folder.name, f'{name}.json')
--- a/bergamotmount/tools/load.py
+++ b/bergamotmount/tools/load.py
@@ -23,8 +23,8 @@
 #: Pause before it asks again.
 SETTLE_PAUSE_S = 0.3
 
-#: Time that a caller waits for an answer.
-CALLER_TIMEOUT_S = 10
+#: Time that a caller waits for an answer beyond its deadline.
+GRACE_S = 0.5
 
 _STATUS_TICKET_MISSING = 428
 
@@ -69,7 +69,8 @@
     """What callers ask for.
 
     ``client_retries`` is how often a client repeats a failed request at
-    once; ``patient`` makes it wait as long as it was advised.
+    once; ``patient`` makes it wait as long as it was advised; ``direct``
+    sends to backend servers themselves, without any node.
     """
 
     operation_by_name: dict[str, DemoOperation]
@@ -77,6 +78,7 @@
     deadline_s: float = 2
     client_retries: int = 0
     patient: bool = False
+    direct: bool = False
 
 
 class Load:
@@ -92,7 +94,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15),
-            timeout=aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S),
+            timeout=aiohttp.ClientTimeout(total=plan.deadline_s + GRACE_S),
         )
 
     async def run(self, rate: float, duration_s: float) -> None:
@@ -189,9 +191,12 @@
         sent = {headers.DEADLINE: str(int(self.plan.deadline_s * 1000))}
         if ticket:
             sent[headers.TICKET] = ticket
+        path = f'call/{sample.operation}'
+        if self.plan.direct:
+            path = sample.operation.partition('/')[2]
         try:
             async with self._session.post(
-                f'http://{entry}/call/{sample.operation}',
+                f'http://{entry}/{path}',
                 json={'key': key, 'root': root},
                 headers=sent,
             ) as response:
@@ -203,9 +208,10 @@
 
 
 async def _read(response: aiohttp.ClientResponse, key: str) -> _Told:
-    told = await response.json(content_type=None)
-    match response.headers.get(headers.OUTCOME):
+    outcome = response.headers.get(headers.OUTCOME, 'answered')
+    match outcome:
         case 'answered' if response.status == 200:
+            told = await response.json(content_type=None)
             if told['key'] != key:
                 raise AssertionError(f'answer for {told["key"]}, asked {key}')
             return _Told(Result.COMPLETED)
--- a/bergamotmount/tools/process.py
+++ b/bergamotmount/tools/process.py
@@ -1,14 +1,18 @@
 """What the companion programs need to run as processes."""
 
 import asyncio
+import contextlib
 import signal
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import TypeVar
 
 import uvloop
 from aiohttp import web
 
 
+_Work = TypeVar('_Work')
+
 #: Closes something that a program opened.
 Closer = Callable[[], Awaitable[None]]
 
@@ -29,6 +33,17 @@
     uvloop.run(run())
 
 
+async def run_interruptibly(work: Coroutine[None, None, _Work]) -> _Work | None:
+    """Run a coroutine; SIGINT and SIGTERM cancel it and return ``None``."""
+    task = asyncio.create_task(work)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    with contextlib.suppress(asyncio.CancelledError):
+        return await task
+    return None
+
+
 async def start_site(runner: web.BaseRunner, address: str) -> Closer:
     """Serve HTTP on ``ip:port`` and return what ends it."""
     host, _, port = address.rpartition(':')
--- a/bergamotmount/tools/standin_server.py
+++ b/bergamotmount/tools/standin_server.py
@@ -43,6 +43,26 @@
     hop_retries: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """Whom a stand-in calls, and when it sheds.
+
+    ``callers_url`` is its node; with ``direct_urls`` it calls the servers of
+    other services itself, as the baselines of the overload benchmark do.
+    """
+
+    callers_url: str = ''
+    direct_urls: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    shed_per_slot: float = SHED_PER_SLOT
+
+    def child_url(self, callee: str, rng: random.Random) -> str:
+        """Return where a child call goes."""
+        if not self.direct_urls:
+            return f'{self.callers_url}/call/{callee}'
+        service, _, operation = callee.partition('/')
+        return f'{rng.choice(self.direct_urls[service])}/{operation}'
+
+
 @dataclasses.dataclass(slots=True)
 class Truth:
     """What really ran."""
@@ -70,15 +90,16 @@
         service: str,
         slots: int,
         operation_by_name: dict[str, OperationSpec],
-        callers_url: str,
+        surroundings: Surroundings,
         truth: Truth,
         tuning: Tuning,
     ) -> None:
-        """Call children through the node at ``callers_url``."""
+        """Serve with a number of slots in the given surroundings."""
         self.service = service
         self.slots = slots
         self._operation_by_name = operation_by_name
-        self._callers_url = callers_url
+        self._surroundings = surroundings
+        self._most_in_hand = slots * (1 + surroundings.shed_per_slot)
         self._truth = truth
         self._tuning = tuning
         self._free_slots = asyncio.Semaphore(slots)
@@ -95,7 +116,7 @@
         operation = self._operation_by_name.get(http.path.lstrip('/'))
         if operation is None:
             return web.Response(status=404)
-        if self._in_hand >= self.slots * (1 + SHED_PER_SLOT):
+        if self._in_hand >= self._most_in_hand:
             self._truth.shed += 1
             return web.Response(status=503, headers={headers.NOT_RUN: '1'})
         self._in_hand += 1
@@ -190,13 +211,13 @@
             if name in http.headers
         }
         async with self._session.post(
-            f'{self._callers_url}/call/{callee}',
+            self._surroundings.child_url(callee, self._rng),
             json={'key': child, 'root': root},
             headers=parent,
         ) as response:
-            told = await response.json(content_type=None)
             if response.status != 200:
-                return f'{callee}: {response.status} {told}'
+                return f'{callee}: {response.status}'
+            told = await response.json(content_type=None)
             if told['key'] != child:
                 return f'{callee}: answer to another request'
             return ''
@@ -224,7 +245,11 @@
             spec['service'],
             server['slots'],
             operation_by_name,
-            server['callers_url'],
+            Surroundings(
+                server['callers_url'],
+                spec.get('direct_urls', {}),
+                spec.get('shed_per_slot', SHED_PER_SLOT),
+            ),
             truth,
             tuning,
         )
