Set thresholds from the server's capacity and the arrivals by rank

Cause: the threshold swung between 0.3 and 4.0. It rose by a share of its own value, which at rank 2.0 let in 40% of a whole level at once, about three times the capacity of the slowed service; requests then failed at the deepest service after the work above was done.

--- a/bergamotmount/admission.py
+++ b/bergamotmount/admission.py
@@ -53,11 +53,12 @@
         self,
         clock: Clock,
         limit: ConcurrencyLimit,
+        service_time: ServiceTime,
         controller: ThresholdController,
         rng: random.Random,
     ) -> None:
-        """Guard the server that ``limit`` belongs to."""
-        self.service_time = ServiceTime(clock)
+        """Guard the server that ``limit`` and ``service_time`` belong to."""
+        self.service_time = service_time
         self.limit = limit
         self.in_flight = 0
         self._clock = clock
--- a/bergamotmount/node.py
+++ b/bergamotmount/node.py
@@ -17,7 +17,7 @@
 from bergamotmount.ingress import Ingress, ServerGate
 from bergamotmount.joining import LogJoin
 from bergamotmount.lifecycle import ServerLifecycle, ServerState
-from bergamotmount.limit import ConcurrencyLimit
+from bergamotmount.limit import ConcurrencyLimit, ServiceTime
 from bergamotmount.link import LinkPool
 from bergamotmount.member import Member, MemberState
 from bergamotmount.membership import Members
@@ -232,12 +232,13 @@
         clock, rng = self.ports.clock, self.ports.rng
         mint = TicketMint(options.ticket_key)
         door = Door(self.view, self._policy, rng)
-        controller = ThresholdController(clock)
+        service_time = ServiceTime(clock)
         limit = ConcurrencyLimit(clock)
+        controller = ThresholdController(clock, limit, service_time)
         self.gate = ServerGate(
             self.ports.server,
             self.lifecycle,
-            Admission(clock, limit, controller, rng),
+            Admission(clock, limit, service_time, controller, rng),
             controller,
             TicketStore(clock, self.identity.incarnation),
             InHand(),
--- a/bergamotmount/threshold.py
+++ b/bergamotmount/threshold.py
@@ -9,32 +9,38 @@
 import dataclasses
 
 from bergamotmount.clock import Clock
+from bergamotmount.limit import ConcurrencyLimit, ServiceTime
 from bergamotmount.rank import LEVELS, OPEN_RANK
 
-#: Time over which arrivals and completions are compared.
-WINDOW_MS = 100
+#: Shortest and longest time over which arrivals are counted.
+MIN_WINDOW_MS = 100
+MAX_WINDOW_MS = 1000
 
-#: Share of the counts that carries over from one window to the next.
-CARRY_OVER = 0.5
+#: Service times in a window: what a threshold does shows only after one.
+SERVICE_TIMES = 2
 
-#: Slices of one importance level in the count of arrivals.
-SLICES = 32
+#: Weight of former windows in the rate of arrivals.
+CARRY_OVER = 0.6
 
-#: Share of the queue in use above which a window counts as overloaded.
-OVERLOADED_QUEUE = 0.5
+#: What is left after a window of a rate that the threshold keeps from view.
+UNSEEN_FADE = 0.95
 
-#: Share of the queue in use below which a window counts as relaxed.
-RELAXED_QUEUE = 0.25
+#: Slices of one importance level in the rates of arrivals.
+SLICES = 32
 
-#: Growth of the threshold in a relaxed window, and its least step.
-GROWTH = 0.2
-LEAST_STEP = 0.04
+#: Least visible share of a slice from which its whole rate is inferred.
+LEAST_VISIBLE = 0.1
 
-#: Growth after windows in which the queue stayed empty.
-IDLE_GROWTH = 0.6
+#: Share of the queue in use above which a window counts as overloaded, and
+#: share below which it counts as relaxed.
+OVERLOADED_QUEUE = 0.5
+RELAXED_QUEUE = 0.25
 
-#: Share of completions that is let in when a threshold is set anew.
-SAFETY = 0.98
+#: Arrivals that are let in, as a factor on what the server can finish.
+OVERLOADED_FACTOR = 0.9
+STEADY_FACTOR = 1.0
+RELAXED_FACTOR = 1.1
+IDLE_FACTOR = 1.5
 
 #: Least rank to which a threshold falls, so that some requests always pass.
 LEAST_RANK = 1 / SLICES
@@ -50,30 +56,42 @@
 
 
 class ThresholdController:
-    """Sets the threshold of one backend server."""
+    """Sets the threshold of one backend server.
 
-    def __init__(self, clock: Clock) -> None:
-        """Start with an open threshold."""
+    It keeps the rate of arrivals by rank and the rate that the server can
+    finish, and sets the threshold where the one reaches the other. What the
+    threshold itself keeps from view is remembered and fades, so that opening
+    again lets in little more at each step than the server can take.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        limit: ConcurrencyLimit,
+        service_time: ServiceTime,
+    ) -> None:
+        """Start open, for the server of ``limit`` and ``service_time``."""
         self._clock = clock
+        self._limit = limit
+        self._service_time = service_time
         self._rank = OPEN_RANK
-        self._arrivals = [float(0) for _ in range(_BUCKETS)]
-        self._completions: float = 0
+        self._counts = [0 for _ in range(_BUCKETS)]
+        self._rates = [float(0) for _ in range(_BUCKETS)]
         self._queue_share_sum: float = 0
         self._queue_samples = 0
         self._refusals = 0
-        self._window_end_ms = clock.now_ms() + WINDOW_MS
+        self._window_start_ms = clock.now_ms()
 
     def arrived(self, rank: float, queue_share: float) -> None:
         """Count a request that came in, refused or not."""
         self._advance()
         bucket = min(int(rank * SLICES), _BUCKETS - 1)
-        self._arrivals[bucket] += 1
+        self._counts[bucket] += 1
         self._sample(queue_share)
 
     def completed(self, queue_share: float) -> None:
-        """Count a request that the backend server finished."""
+        """Look at the queue when the backend server has finished a request."""
         self._advance()
-        self._completions += 1
         self._sample(queue_share)
 
     def refused(self) -> None:
@@ -94,38 +112,61 @@
         self._queue_samples += 1
 
     def _advance(self) -> None:
-        overdue_ms = self._clock.now_ms() - self._window_end_ms
-        if overdue_ms < 0:
+        now_ms = self._clock.now_ms()
+        elapsed_ms = now_ms - self._window_start_ms
+        window_ms = self._window_ms()
+        if elapsed_ms < window_ms:
             return
-        self._close_window()
-        for _ in range(min(int(overdue_ms / WINDOW_MS), _BUCKETS)):
-            self._close_window()
-        self._window_end_ms = self._clock.now_ms() + WINDOW_MS
-
-    def _close_window(self) -> None:
-        queue_share = self._queue_share_sum / max(self._queue_samples, 1)
-        if self._refusals or queue_share > OVERLOADED_QUEUE:
-            self._lower()
-        elif queue_share < RELAXED_QUEUE:
-            self._raise(GROWTH if self._queue_share_sum else IDLE_GROWTH)
-        self._arrivals = [count * CARRY_OVER for count in self._arrivals]
-        self._completions *= CARRY_OVER
+        self._close_window(elapsed_ms)
+        for _ in range(min(int(elapsed_ms / window_ms) - 1, _BUCKETS)):
+            self._close_window(window_ms)
+        self._window_start_ms = now_ms
+
+    def _window_ms(self) -> float:
+        window_ms = SERVICE_TIMES * self._service_time.current_ms()
+        return min(max(window_ms, MIN_WINDOW_MS), MAX_WINDOW_MS)
+
+    def _close_window(self, window_ms: float) -> None:
+        self._update_rates(window_ms)
+        service_ms = self._service_time.current_ms()
+        if service_ms:
+            finished = self._limit.current() / service_ms
+            self._set_rank(finished * self._factor())
+        else:
+            self._rank = OPEN_RANK
+        self._counts = [0 for _ in range(_BUCKETS)]
         self._queue_share_sum = 0
         self._queue_samples = 0
         self._refusals = 0
 
-    def _lower(self) -> None:
-        budget = self._completions * SAFETY
-        for bucket, count in enumerate(self._arrivals):
-            budget -= count
-            if budget < 0:
-                rank = bucket / SLICES
-                self._rank = max(min(self._rank, rank), LEAST_RANK)
-                return
+    def _update_rates(self, window_ms: float) -> None:
+        edge = self._rank * SLICES
+        for bucket, count in enumerate(self._counts):
+            visible = min(edge - bucket, 1)
+            rate = self._rates[bucket]
+            if visible < LEAST_VISIBLE:
+                rate = max(rate * UNSEEN_FADE, count / window_ms)
+            else:
+                rate *= CARRY_OVER
+                rate += (1 - CARRY_OVER) * count / visible / window_ms
+            self._rates[bucket] = rate
+
+    def _factor(self) -> float:
+        queue_share = self._queue_share_sum / max(self._queue_samples, 1)
+        if self._refusals or queue_share > OVERLOADED_QUEUE:
+            return OVERLOADED_FACTOR
+        if queue_share > RELAXED_QUEUE:
+            return STEADY_FACTOR
+        return RELAXED_FACTOR if queue_share else IDLE_FACTOR
 
-    def _raise(self, growth: float) -> None:
-        step = max(self._rank * growth, LEAST_STEP)
-        self._rank = min(self._rank + step, OPEN_RANK)
+    def _set_rank(self, budget: float) -> None:
+        self._rank = OPEN_RANK
+        for bucket, rate in enumerate(self._rates):
+            if rate > budget:
+                rank = (bucket + budget / rate) / SLICES
+                self._rank = max(rank, LEAST_RANK)
+                return
+            budget -= rate
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
