Close thresholds at the first sign of a slow server

Cause: 86 of 112 refusals at one deepest server fell in the first second of the trigger. The capacity came from the average service time, which lags, and entry nodes without calls under way heard of it only by the next heartbeat. Change: while overloaded, capacity is at most what was just finished, and a steep fall is told to peers at once.

--- a/bergamotmount/node.py
+++ b/bergamotmount/node.py
@@ -234,7 +234,12 @@
         door = Door(self.view, self._policy, rng)
         service_time = ServiceTime(clock)
         limit = ConcurrencyLimit(clock)
-        controller = ThresholdController(clock, limit, service_time)
+        controller = ThresholdController(
+            clock,
+            limit,
+            service_time,
+            self.heartbeats.push,
+        )
         self.gate = ServerGate(
             self.ports.server,
             self.lifecycle,
--- a/bergamotmount/threshold.py
+++ b/bergamotmount/threshold.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 
 from bergamotmount.clock import Clock
 from bergamotmount.limit import ConcurrencyLimit, ServiceTime
@@ -42,6 +43,9 @@
 RELAXED_FACTOR = 1.1
 IDLE_FACTOR = 1.5
 
+#: A fall of the threshold below this share of its value is told at once.
+URGENT_DROP = 0.9
+
 #: Least rank to which a threshold falls, so that some requests always pass.
 LEAST_RANK = 1 / SLICES
 
@@ -55,6 +59,10 @@
 _BUCKETS = LEVELS * SLICES
 
 
+def _do_nothing() -> None:
+    """Stand for a callback that nobody needs."""
+
+
 class ThresholdController:
     """Sets the threshold of one backend server.
 
@@ -69,8 +77,14 @@
         clock: Clock,
         limit: ConcurrencyLimit,
         service_time: ServiceTime,
+        on_drop: Callable[[], None] = _do_nothing,
     ) -> None:
-        """Start open, for the server of ``limit`` and ``service_time``."""
+        """Start open, for the server of ``limit`` and ``service_time``.
+
+        ``on_drop`` is called when the threshold falls so far that others
+        should hear of it before the next answer or heartbeat.
+        """
+        self._on_drop = on_drop
         self._clock = clock
         self._limit = limit
         self._service_time = service_time
@@ -80,6 +94,7 @@
         self._queue_share_sum: float = 0
         self._queue_samples = 0
         self._refusals = 0
+        self._completions = 0
         self._window_start_ms = clock.now_ms()
 
     def arrived(self, rank: float, queue_share: float) -> None:
@@ -90,8 +105,9 @@
         self._sample(queue_share)
 
     def completed(self, queue_share: float) -> None:
-        """Look at the queue when the backend server has finished a request."""
+        """Count a request that the backend server has finished."""
         self._advance()
+        self._completions += 1
         self._sample(queue_share)
 
     def refused(self) -> None:
@@ -128,16 +144,33 @@
 
     def _close_window(self, window_ms: float) -> None:
         self._update_rates(window_ms)
-        service_ms = self._service_time.current_ms()
-        if service_ms:
-            finished = self._limit.current() / service_ms
-            self._set_rank(finished * self._factor())
-        else:
-            self._rank = OPEN_RANK
+        before = self._rank
+        finished = self._finished_per_ms(window_ms)
+        self._set_rank(finished * self._factor())
+        if self._rank < before * URGENT_DROP:
+            self._on_drop()
         self._counts = [0 for _ in range(_BUCKETS)]
         self._queue_share_sum = 0
         self._queue_samples = 0
         self._refusals = 0
+        self._completions = 0
+
+    def _is_overloaded(self) -> bool:
+        return bool(self._refusals) or self._queue_share() > OVERLOADED_QUEUE
+
+    def _queue_share(self) -> float:
+        return self._queue_share_sum / max(self._queue_samples, 1)
+
+    def _finished_per_ms(self, window_ms: float) -> float:
+        service_ms = self._service_time.current_ms()
+        if not service_ms:
+            return float('inf')
+        finished = self._limit.current() / service_ms
+        if self._is_overloaded():
+            # A server that has just slowed shows it here first: the average
+            # of service times still lacks the requests that take long.
+            return min(finished, (self._completions + 1) / window_ms)
+        return finished
 
     def _update_rates(self, window_ms: float) -> None:
         edge = self._rank * SLICES
@@ -152,8 +185,8 @@
             self._rates[bucket] = rate
 
     def _factor(self) -> float:
-        queue_share = self._queue_share_sum / max(self._queue_samples, 1)
-        if self._refusals or queue_share > OVERLOADED_QUEUE:
+        queue_share = self._queue_share()
+        if self._is_overloaded():
             return OVERLOADED_FACTOR
         if queue_share > RELAXED_QUEUE:
             return STEADY_FACTOR
--- a/bergamotmount/tools/bare_forward.py
+++ b/bergamotmount/tools/bare_forward.py
@@ -9,7 +9,7 @@
 import itertools
 
 import aiohttp
-from aiohttp import web
+from aiohttp import web  # noqa: WPS458
 
 from bergamotmount.counters import Counters
 from bergamotmount.messages import Answer, Call
--- a/bergamotmount/tools/bench_latency.py
+++ b/bergamotmount/tools/bench_latency.py
@@ -126,6 +126,35 @@
                     await self._slice(session, way, is_warm=number > 0)
         renewing.cancel()
 
+    def report(self) -> list[str]:
+        """Return the lines to print."""
+        figures: dict[str, float] = {}
+        for way, percentile in itertools.product(WAYS, (_MEDIAN, _P99)):
+            histogram = self.histogram_by_way[way]
+            latency_us = histogram.get_value_at_percentile(percentile)
+            figures[f'{way}_p{percentile}_ms'] = latency_us / _US_PER_MS
+        for way, prefix in (('through', ''), ('bare', 'bare_')):
+            for percentile in (_MEDIAN, _P99):
+                added = (
+                    figures[f'{way}_p{percentile}_ms']
+                    - figures[f'direct_p{percentile}_ms']
+                )
+                figures[f'{prefix}added_p{percentile}_ms'] = added
+        figures['node_cpu_us_per_call'] = self._cpu_us('through')
+        figures['bare_cpu_us_per_call'] = self._cpu_us('bare')
+        figures['ratio_added_p50'] = (
+            figures['added_p50_ms'] / figures['bare_added_p50_ms']
+        )
+        figures['ratio_cpu'] = (
+            figures['node_cpu_us_per_call'] / figures['bare_cpu_us_per_call']
+        )
+        lines = [f'{name} {figure:.3f}' for name, figure in figures.items()]
+        return [
+            *lines,
+            f'calls {sum(self.calls_by_way.values())}',
+            f'failures {self.failures}',
+        ]
+
     async def _renew(self) -> None:
         while True:
             await self.fleet.announce(self.fleet.node_by_name['echo-1'])
@@ -163,38 +192,10 @@
             headers={'Content-Type': 'application/json'},
         ) as response:
             body = await response.read()
-        self.failures += response.status != 200 or len(body) != _BODY_BYTES
+            is_whole = response.status == 200 and len(body) == _BODY_BYTES
+        self.failures += not is_whole
         return max(int((time.perf_counter() - started_s) * _US_PER_S), 1)
 
-    def report(self) -> list[str]:
-        """Return the lines to print."""
-        figures: dict[str, float] = {}
-        for way, percentile in itertools.product(WAYS, (_MEDIAN, _P99)):
-            histogram = self.histogram_by_way[way]
-            latency_us = histogram.get_value_at_percentile(percentile)
-            figures[f'{way}_p{percentile}_ms'] = latency_us / _US_PER_MS
-        for way, prefix in (('through', ''), ('bare', 'bare_')):
-            for percentile in (_MEDIAN, _P99):
-                added = (
-                    figures[f'{way}_p{percentile}_ms']
-                    - figures[f'direct_p{percentile}_ms']
-                )
-                figures[f'{prefix}added_p{percentile}_ms'] = added
-        figures['node_cpu_us_per_call'] = self._cpu_us('through')
-        figures['bare_cpu_us_per_call'] = self._cpu_us('bare')
-        figures['ratio_added_p50'] = (
-            figures['added_p50_ms'] / figures['bare_added_p50_ms']
-        )
-        figures['ratio_cpu'] = (
-            figures['node_cpu_us_per_call'] / figures['bare_cpu_us_per_call']
-        )
-        lines = [f'{name} {figure:.3f}' for name, figure in figures.items()]
-        return [
-            *lines,
-            f'calls {sum(self.calls_by_way.values())}',
-            f'failures {self.failures}',
-        ]
-
     def _cpu_us(self, way: str) -> float:
         return self.cpu_s_by_way[way] * _US_PER_S / self.calls_by_way[way]
 
--- a/bergamotmount/tools/demo.py
+++ b/bergamotmount/tools/demo.py
@@ -41,10 +41,7 @@
 async def _start(fleet: Fleet) -> None:
     count = len(fleet.node_by_name)
     say(f'{fleet.deployment.name}: starting the log and {count} nodes')
-    await fleet.start_log()
-    await fleet.start_servers()
-    await fleet.start_nodes()
-    await fleet.wait_up()
+    await fleet.start_all()
     say('publishing the policy with bergamotmountctl')
     await publish_deployment(fleet)
     await fleet.wait_ready()
--- a/bergamotmount/tools/fleet.py
+++ b/bergamotmount/tools/fleet.py
@@ -77,6 +77,13 @@
         """URL of the log stand-in."""
         return f'http://{self.log_address}'
 
+    async def start_all(self) -> None:
+        """Start log, backend servers and nodes, and wait until they are up."""
+        await self.start_log()
+        await self.start_servers()
+        await self.start_nodes()
+        await self.wait_up()
+
     async def start_log(self) -> None:
         """Start the log stand-in."""
         await self._start(
