--- a/bergamotmount/follower.py
+++ b/bergamotmount/follower.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from bergamotmount.acceptance import AcceptedState, Verdict, read_checkpoint
-from bergamotmount.ports import LogPage
+from bergamotmount.ports import LogError, LogPage
 
 #: Stream that operators publish policy records in.
 POLICY_STREAM = 'policy'
@@ -29,13 +29,16 @@
         """Apply the records of a page and return what was decided.
 
         When records before the page are gone, the state is taken from the
-        oldest checkpoint in it from which the log goes on unbroken; without
-        one, nothing of the page is applied.
+        oldest checkpoint in it from which the log goes on unbroken. Raise
+        :class:`LogError` when there is none; nothing is applied then.
         """
         if page.first_kept > self.next_offset:
             self._cross_gap(page)
         if page.first_kept > self.next_offset:
-            return []
+            raise LogError(
+                f'records from {self.next_offset} to {page.first_kept - 1} '
+                'are gone, and no checkpoint covers them',
+            )
         verdicts = []
         for record in page.records:
             verdicts.extend(self.take_record(record.offset, record.body))
--- a/bergamotmount/tests/fakes.py
+++ b/bergamotmount/tests/fakes.py
@@ -27,6 +27,7 @@
 
 KEY = 'a-ticket-key-for-tests'
 LATENCY_MS = 1.5
+LOG_POLL_MS = 200
 
 
 class FakeClock(LoopClock):
@@ -267,8 +268,8 @@
             page = self._page(stream, from_offset)
             if page.records or waited_ms >= wait_ms:
                 return page
-            await asyncio.sleep(50 / MS_PER_SECOND)
-            waited_ms += 50
+            await asyncio.sleep(LOG_POLL_MS / MS_PER_SECOND)
+            waited_ms += LOG_POLL_MS
         raise LogError('down')
 
     def forget_before(self, stream: str, offset: int) -> None:
--- /dev/null
+++ b/bergamotmount/tests/test_acceptance.py
@@ -0,0 +1,278 @@
+"""Tests of policy records, their acceptance, and following the log."""
+
+import itertools
+import json
+import random
+import unittest
+
+from bergamotmount.acceptance import AcceptedState, StateError, VerdictKind
+from bergamotmount.clock import LoopClock
+from bergamotmount.follower import Follower
+from bergamotmount.policy import find_cycle
+from bergamotmount.ports import LogError, LogPage, LogRecord
+from bergamotmount.publishing import Publisher, PublishTimeout
+from bergamotmount.records import InvalidRecord, parse_document
+from bergamotmount.tests.fakes import FakeLog, operation, record, state_of
+from bergamotmount.tests.virtualtime import VirtualTestCase
+
+V1 = {
+    'operations': {
+        'quote': {
+            'importance': 'low',
+            'repeat': True,
+            'calls': ['b/look'],
+            'timeout_s': 1.5,
+        },
+    },
+}
+V2 = {
+    'operations': {
+        'quote': {
+            'level': 2,
+            'idempotent': True,
+            'callees': ['b/look'],
+            'timeout_ms': 1500,
+        },
+    },
+}
+
+
+class RecordTest(unittest.TestCase):
+    """Both schema versions mean the same; faults name field and value."""
+
+    def test_both_versions_give_the_same_policy(self):
+        old = state_of(record('service/a', V1, schema=1))
+        new = state_of(record('service/a', V2))
+        self.assertEqual(old.policy(), new.policy())
+
+    def test_other_subjects_convert_too(self):
+        old = state_of(
+            record('retries', {'retries': 4}, schema=1),
+            record('servers', {'warm_up_s': 1.5}, schema=1),
+        )
+        new = state_of(
+            record('retries', {'per_request': 4}),
+            record('servers', {'slow_start_ms': 1500}),
+        )
+        self.assertEqual(old.policy(), new.policy())
+
+    def test_problems_name_field_and_value(self):
+        body = {'operations': {'Quote!': operation(), 'b': {'level': 9}}}
+        parsed = parse_document(record('service/a', body))
+        self.assertIsInstance(parsed, InvalidRecord)
+        text = '\n'.join(parsed.problems)
+        for part in ('level', '9', 'idempotent', 'Quote!'):
+            self.assertIn(part, text)
+
+    def test_unknown_fields_are_invalid_not_half_applied(self):
+        body = {'per_request': 3, 'burst': 5}
+        state = state_of(record('retries', body))
+        self.assertEqual(state.record_by_subject, {})
+
+
+class AcceptedStateTest(unittest.TestCase):
+    """One pure function of the log's order decides, on every node alike."""
+
+    def test_of_two_records_at_once_the_first_wins(self):
+        state = AcceptedState()
+        kinds = [
+            state.apply(offset, json.dumps(document).encode()).kind
+            for offset, document in enumerate(
+                (
+                    record(
+                        'retries', {'per_request': 1}, record_id='operator-1'
+                    ),
+                    record(
+                        'retries', {'per_request': 2}, record_id='operator-2'
+                    ),
+                    record(
+                        'retries', {'per_request': 3}, 0, record_id='operator-3'
+                    ),
+                )
+            )
+        ]
+        self.assertEqual(kinds, ['accepted', 'conflict', 'accepted'])
+        self.assertEqual(state.policy().retries.per_request, 3)
+
+    def test_duplicates_change_nothing(self):
+        document = record('retries', {'per_request': 1})
+        state = state_of(document, document)
+        self.assertEqual(state.record_by_subject['retries'].offset, 0)
+
+    def test_old_offsets_change_nothing(self):
+        state = state_of(
+            record('retries', {'per_request': 1}),
+            record('retries', {'per_request': 2}, 0),
+        )
+        raw = json.dumps(record('retries', {'per_request': 9})).encode()
+        state.apply(0, raw)
+        self.assertEqual(state.policy().retries.per_request, 2)
+
+    def test_a_circle_of_operations_is_invalid(self):
+        state = state_of(
+            record(
+                'service/a', {'operations': {'x': operation(1, True, 'b/y')}}
+            ),
+            record(
+                'service/b', {'operations': {'y': operation(1, True, 'a/x')}}
+            ),
+        )
+        self.assertNotIn('service/b', state.record_by_subject)
+        kinds = [verdict.kind for verdict in state.verdict_by_id.values()]
+        self.assertEqual(kinds, [VerdictKind.ACCEPTED, VerdictKind.INVALID])
+
+    def test_a_newer_schema_is_kept_and_the_former_body_stays(self):
+        newer = {**record('retries', {'anything': 1}, 0), 'schema': 3}
+        newer['id'] = 'from-the-future'
+        state = state_of(record('retries', {'per_request': 1}), newer)
+        self.assertEqual(state.policy().retries.per_request, 1)
+        restored = AcceptedState.from_bytes(state.to_bytes())
+        self.assertEqual(restored.to_bytes(), state.to_bytes())
+        self.assertIn(
+            'anything', restored.record_by_subject['retries'].newer_raw
+        )
+        after = record('retries', {'per_request': 7}, 1, record_id='after-it')
+        restored.apply(2, json.dumps(after).encode())
+        self.assertEqual(restored.policy().retries.per_request, 7)
+
+    def test_an_operation_above_a_non_idempotent_one_may_not_repeat(self):
+        state = state_of(
+            record(
+                'service/a', {'operations': {'x': operation(1, True, 'b/y')}}
+            ),
+            record('service/b', {'operations': {'y': operation(1, False)}}),
+        )
+        operation_by_name = state.policy().operation_by_name
+        self.assertFalse(operation_by_name['a', 'x'].may_repeat)
+        self.assertEqual(operation_by_name['a', 'x'].needs, {'a', 'b'})
+
+    def test_garbage_state_is_refused(self):
+        for raw in (b'', b'[]', b'{"offset": 1}', b'\xff'):
+            with self.assertRaises(StateError):
+                AcceptedState.from_bytes(raw)
+
+    def test_cycles_are_found_in_random_graphs(self):
+        rng = random.Random(5)
+        for _ in range(200):
+            names = [('s', str(number)) for number in range(6)]
+            graph = {
+                name: frozenset(rng.sample(names, rng.randrange(3)))
+                for name in names
+            }
+            self.assertEqual(bool(find_cycle(graph)), has_cycle(graph))
+
+
+def has_cycle(graph) -> bool:
+    """Whether removing leaves again and again fails to empty the graph."""
+    rest = dict(graph)
+    while True:
+        leaves = [name for name in rest if not rest[name] & rest.keys()]
+        if not leaves:
+            return bool(rest)
+        for name in leaves:
+            rest.pop(name)
+
+
+def page(bodies: list[bytes], first_kept: int, start: int) -> LogPage:
+    """Return the page of a stream from an offset on."""
+    start = max(start, first_kept)
+    records = [
+        LogRecord(offset, bodies[offset])
+        for offset in range(start, len(bodies))
+    ]
+    return LogPage(first_kept, len(bodies), records)
+
+
+class FollowerTest(unittest.TestCase):
+    """State moves forward with the log and never back, across gaps too."""
+
+    def bodies(self) -> list[bytes]:
+        bodies = []
+        state = AcceptedState()
+        base = None
+        for offset in range(20):
+            if offset % 5 == 4:
+                raw = state.checkpoint()
+            else:
+                body = {'per_request': offset}
+                document = record(
+                    'retries', body, base, record_id=f'id-{offset:06}'
+                )
+                raw = json.dumps(document).encode()
+                base = offset
+            state.apply(offset, raw)
+            bodies.append(raw)
+        return bodies
+
+    def test_all_ways_through_the_log_end_alike(self):
+        bodies = self.bodies()
+        whole = Follower()
+        whole.take_page(page(bodies, 0, 0))
+        for known, first_kept in itertools.product(range(-1, 19), range(15)):
+            follower = Follower()
+            follower.take_page(page(bodies[: known + 1], 0, 0))
+            start = follower.next_offset
+            follower.take_page(page(bodies, first_kept, start))
+            with self.subTest(known=known, first_kept=first_kept):
+                self.assertEqual(follower.state.offset, 19)
+                self.assertEqual(
+                    follower.state.policy(),
+                    whole.state.policy(),
+                )
+
+    def test_a_gap_without_checkpoint_applies_nothing(self):
+        bodies = [body for body in self.bodies() if b'checkpoint' not in body]
+        follower = Follower()
+        with self.assertRaises(LogError):
+            follower.take_page(page(bodies, 3, 0))
+        self.assertEqual(follower.state.offset, -1)
+
+    def test_an_older_state_is_not_taken(self):
+        follower = Follower()
+        follower.take_page(page(self.bodies(), 0, 0))
+        self.assertFalse(follower.take_state(AcceptedState()))
+        self.assertEqual(follower.state.offset, 19)
+
+    def test_without_that_guard_the_offset_would_go_back(self):
+        follower = Follower()
+        follower.take_page(page(self.bodies(), 0, 0))
+        follower.state = AcceptedState()
+        self.assertLess(follower.state.offset, 19)
+
+
+class PublisherTest(VirtualTestCase):
+    """A lost answer is settled by the record's id."""
+
+    async def test_lost_answers_leave_one_accepted_record(self):
+        log = FakeLog()
+        log.lose_answers = 3
+        publisher = Publisher(LoopClock(), log)
+        document = record('retries', {'per_request': 1})
+        verdict = await publisher.publish(document, 10_000)
+        self.assertEqual(verdict.kind, VerdictKind.ACCEPTED)
+        self.assertEqual(log.appends, 1)
+
+    async def test_a_dead_log_is_reported_as_nothing_published(self):
+        log = FakeLog()
+        log.is_down = True
+        publisher = Publisher(LoopClock(), log)
+        document = record('retries', {'per_request': 1})
+        outcome = await publisher.publish(document, 2000)
+        self.assertEqual(outcome, PublishTimeout(may_be_appended=False))
+
+    async def test_a_gap_without_checkpoint_ends_the_wait(self):
+        log = FakeLog()
+        document = record('retries', {'per_request': 1})
+        await Publisher(LoopClock(), log).publish(document, 2000)
+        await log.append('policy', b'{}')
+        log.forget_before('policy', 1)
+        outcome = await Publisher(LoopClock(), log).publish(document, 2000)
+        self.assertEqual(outcome, PublishTimeout(may_be_appended=False))
+
+    async def test_publishing_again_under_the_same_id_is_safe(self):
+        log = FakeLog()
+        document = record('retries', {'per_request': 1})
+        first = await Publisher(LoopClock(), log).publish(document, 2000)
+        again = await Publisher(LoopClock(), log).publish(document, 2000)
+        self.assertEqual(first, again)
+        self.assertEqual(log.appends, 1)
