Measure configuration and slopes; link the operation graph bottom-up

Cause: one configuration change at 150 services of 10 operations took 232 ms of the event loop, as each operation walked all that is below it. Before: cpu_us_configuration_change 232404 (chains 150 deep in that fixture). Ruled out: parsing (945 bytes a record).

--- a/bergamotmount/policy.py
+++ b/bergamotmount/policy.py
@@ -79,42 +79,45 @@
 def link_operations(
     operations: Iterable[Operation],
 ) -> dict[OperationName, Operation]:
-    """Return operations by name, with what follows from the whole graph."""
+    """Return operations by name, with what follows from the whole graph.
+
+    The operations must not call each other in a circle.
+    """
     declared = {(each.service, each.name): each for each in operations}
-    return {
-        name: _linked(operation, declared)
-        for name, operation in declared.items()
-    }
+    linked: dict[OperationName, Operation] = {}
+    for name in declared:
+        _link(name, declared, linked)
+    return linked
 
 
-def _linked(
-    operation: Operation,
+def _link(
+    start: OperationName,
     declared: dict[OperationName, Operation],
-) -> Operation:
-    below = _reachable(operation, declared)
+    linked: dict[OperationName, Operation],
+) -> None:
+    pending = [start]
+    while pending:
+        name = pending[-1]
+        known = [each for each in declared[name].callees if each in declared]
+        missing = [each for each in known if each not in linked]
+        if missing:
+            pending.extend(missing)
+            continue
+        pending.pop()
+        below = [linked[each] for each in known]
+        linked[name] = _linked(declared[name], below)
+
+
+def _linked(operation: Operation, below: list[Operation]) -> Operation:
+    needs = {operation.service}.union(*(each.needs for each in below))
+    may_repeat = operation.idempotent and all(each.may_repeat for each in below)
     return dataclasses.replace(
         operation,
-        may_repeat=all(each.idempotent for each in below),
-        needs=frozenset(each.service for each in below),
+        may_repeat=may_repeat,
+        needs=frozenset(needs),
     )
 
 
-def _reachable(
-    operation: Operation,
-    declared: dict[OperationName, Operation],
-) -> list[Operation]:
-    seen = {(operation.service, operation.name)}
-    pending = [operation]
-    reached = []
-    while pending:
-        current = pending.pop()
-        reached.append(current)
-        fresh = sorted(name for name in current.callees if name not in seen)
-        seen.update(fresh)
-        pending.extend(declared[name] for name in fresh if name in declared)
-    return reached
-
-
 def _find_cycle_from(
     start: OperationName,
     callees_by_name: dict[OperationName, frozenset[OperationName]],
--- /dev/null
+++ b/bergamotmount/tests/test_callers.py
@@ -0,0 +1,185 @@
+"""Tests of the callers' HTTP interface, over real connections."""
+
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from bergamotmount.adapters import headers
+from bergamotmount.adapters.admin import AdminServer
+from bergamotmount.adapters.callers import CallerServer
+from bergamotmount.member import MemberState
+from bergamotmount.tests.fakes import World, operation, record, state_of
+
+SERVICE = {
+    'operations': {
+        'read': operation(2, True),
+        'order': operation(0, False),
+    },
+}
+
+
+class CallersTest(unittest.IsolatedAsyncioTestCase):
+    """Bad input gets a clear 4xx with a reason and is never run."""
+
+    async def asyncSetUp(self):
+        self.world = World()
+        self.host = self.world.add('a1', 'a', 'fd-1')
+        self.host.start()
+        self.node = self.host.node
+        state = state_of(
+            record('service/a', SERVICE),
+            record('service/c', {'operations': {'gone': operation()}}),
+        )
+        self.node.distribution._note([], self.take(state))
+        callers = CallerServer(self.node.egress, self.node.issuer, 1000)
+        self.runner = web.ServerRunner(callers.make_server())
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0)
+        await site.start()
+        port = self.runner.addresses[0][1]
+        self.url = f'http://127.0.0.1:{port}'
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.runner.cleanup()
+        self.world.close()
+
+    def take(self, state) -> bool:
+        return self.node.distribution._follower.take_state(state)
+
+    async def post(self, path: str, body=b'key', **sent):
+        given = {name.replace('_', '-'): text for name, text in sent.items()}
+        async with self.session.post(
+            self.url + path,
+            data=body,
+            headers=given,
+        ) as response:
+            return (
+                response.status,
+                dict(response.headers),
+                await response.read(),
+            )
+
+    async def assert_refused(self, status: int, reason: str, path: str, **sent):
+        found, told, _ = await self.post(path, **sent)
+        self.assertEqual((found, told.get(headers.REASON)), (status, reason))
+        self.assertEqual(told[headers.OUTCOME], 'not-run')
+        self.assertFalse(self.world.truth.runs)
+
+    async def test_an_answer_comes_whole(self):
+        status, told, body = await self.post(
+            '/call/a/read',
+            b'k',
+            Bergamot_Request_Id='mine',
+        )
+        self.assertEqual((status, body), (200, b'k'))
+        self.assertEqual(told[headers.OUTCOME], 'answered')
+        self.assertEqual(told[headers.REQUEST_ID], 'mine')
+
+    async def test_unknown_operations(self):
+        for path in ('/call/a/none', '/call/none/read', '/call/A/read'):
+            await self.assert_refused(404, 'unknown_operation', path)
+
+    async def test_no_server(self):
+        await self.assert_refused(503, 'no_server', '/call/c/gone')
+
+    async def test_bad_headers(self):
+        path = '/call/a/read'
+        for text in ('soon', '1e3', '99999999999', ''):
+            await self.assert_refused(
+                400,
+                'bad_header',
+                path,
+                Bergamot_Deadline_Ms=text,
+            )
+        for text in ('-1', '4', 'high'):
+            await self.assert_refused(
+                400,
+                'bad_header',
+                path,
+                Bergamot_Level=text,
+            )
+
+    async def test_a_deadline_that_has_passed(self):
+        for text in ('0', '-5'):
+            await self.assert_refused(
+                408,
+                'deadline_passed',
+                '/call/a/read',
+                Bergamot_Deadline_Ms=text,
+            )
+
+    async def test_forged_parents_and_tickets(self):
+        await self.assert_refused(
+            403,
+            'unknown_parent',
+            '/call/a/read',
+            Bergamot_Parent='forged',
+        )
+        await self.assert_refused(
+            400,
+            'ticket_invalid',
+            '/call/a/order',
+            Bergamot_Ticket='forged',
+        )
+
+    async def test_bodies_over_the_limit(self):
+        await self.assert_refused(
+            413,
+            'body_too_large',
+            '/call/a/read',
+            body=b'x' * 1001,
+        )
+
+    async def test_long_headers(self):
+        status, _, _ = await self.post('/call/a/read', X_Long='x' * 10_000)
+        self.assertEqual(status, 400)
+        self.assertFalse(self.world.truth.runs)
+
+    async def test_an_order_runs_once_under_its_ticket(self):
+        status, told, _ = await self.post('/call/a/order')
+        self.assertEqual(status, 428)
+        ticket = told[headers.TICKET]
+        for _ in range(3):
+            found = await self.post(
+                '/call/a/order', b'o', Bergamot_Ticket=ticket
+            )
+            self.assertEqual((found[0], found[2]), (200, b'o'))
+        self.assertEqual(self.world.truth.runs['o'], 1)
+
+    async def test_tickets_can_be_kept_in_store(self):
+        status, _, body = await self.post('/tickets/a?count=3')
+        self.assertEqual((status, body.count(b'~a~a1~')), (201, 3))
+
+    async def test_a_refusal_says_when_to_come_back(self):
+        self.host.server.sheds = True
+        status, told, _ = await self.post('/call/a/read')
+        self.assertEqual((status, told[headers.REASON]), (503, 'server_shed'))
+        self.assertGreaterEqual(int(told[headers.RETRY_AFTER]), 1)
+        self.assertGreater(int(told[headers.RETRY_AFTER_MS]), 0)
+
+
+class AdminTest(unittest.IsolatedAsyncioTestCase):
+    """Announcements are checked, and a drained server isn't renewed back."""
+
+    async def test_a_renewal_does_not_undo_a_drain(self):
+        world = World()
+        host = world.add('a1', 'a', 'fd-1')
+        host.start()
+        host.node.lifecycle.drain()
+        self.assertTrue(host.node.renew_server())
+        self.assertFalse(host.node.lifecycle.is_accepting)
+        self.assertEqual(host.node.members.own.state, MemberState.DRAINING)
+        host.node.lifecycle.leave()
+        self.assertFalse(host.node.renew_server())
+        world.close()
+
+    async def test_all_routes_are_registered_once(self):
+        world = World()
+        host = world.add('a1', 'a', 'fd-1')
+        host.start()
+        application = AdminServer(host.node, None).make_application()
+        self.assertGreaterEqual(len(application.router.routes()), 9)
+        world.close()
--- /dev/null
+++ b/bergamotmount/tools/bench_slopes.py
@@ -0,0 +1,226 @@
+"""Slopes for docs/CAPACITY.md: bytes, processor time and memory.
+
+Measured in one process at several sizes, with the real parts and codec.
+"""
+
+import argparse
+import dataclasses
+import functools
+import itertools
+import json
+import random
+import resource
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+
+from bergamotmount import messages
+from bergamotmount.acceptance import AcceptedState
+from bergamotmount.clock import Clock
+from bergamotmount.member import Member, MemberState
+from bergamotmount.membership import Members, find_fingers
+from bergamotmount.outcomes import Answered
+from bergamotmount.routing import Router
+from bergamotmount.threshold import ThresholdReport
+from bergamotmount.wire.codec import decode, encode
+from bergamotmount.wire.frames import HEADER_BYTES
+
+SIZES = (100, 1000, 2900)
+SERVICES = 150
+OPERATIONS = 10
+REPEATS = 2000
+RING_REPEATS = 20
+
+#: Depth of the target's call chains.
+DEPTH = 12
+
+_US_PER_S = 1_000_000
+_BODY = b'x' * 200
+
+
+def make_member(number: int) -> Member:
+    """Return a member like those of a large fleet."""
+    return Member(
+        f'service{number % SERVICES}-{number}',
+        f'10.0.{number // 250}.{number % 250}:7301',
+        f'region-{number % 2}',
+        f'fd-{number % 8}',
+        1_700_000_000_000_000 + number,
+        3,
+        MemberState.SERVING,
+        f'service{number % SERVICES}',
+        50,
+        f'10.0.{number // 250}.{number % 250}:7303',
+    )
+
+
+def time_us(work: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Return the processor time of one run of ``work`` in microseconds."""
+    work()
+    started_s = time.process_time()
+    for _ in range(repeats):
+        work()
+    return (time.process_time() - started_s) * _US_PER_S / repeats
+
+
+def resident_kib() -> int:
+    """Return the greatest resident memory of this process in KiB."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+
+def fill(size: int) -> Members:
+    """Return a member table with so many members."""
+    members = Members(Clock(), make_member(0))
+    for number in range(1, size):
+        members.merge(make_member(number))
+    return members
+
+
+def measure_memory(size: int) -> int:
+    """Return resident KiB of a fresh daemon's imports plus ``size`` members."""
+    code = (
+        'import bergamotmount.daemon\n'
+        'from bergamotmount.tools.bench_slopes import fill, resident_kib\n'
+        f'kept = fill({size})\n'
+        'kept.routable("service1")\n'
+        'print(resident_kib())\n'
+    )
+    command = [sys.executable, '-c', code]
+    return int(subprocess.check_output(command))
+
+
+def measure_members() -> list[str]:
+    """Measure the member table at several sizes."""
+    return [line for size in SIZES for line in _measure_table(size)]
+
+
+def _measure_table(size: int) -> list[str]:
+    members = fill(size)
+    alive = members.alive()
+    fingers = len(find_fingers(members.own_node, alive))
+    ring_us = time_us(
+        functools.partial(find_fingers, members.own_node, alive),
+        RING_REPEATS,
+    )
+    router = Router(Clock(), members, random.Random(1))
+    pick_us = time_us(functools.partial(router.pick, 'service1', ()))
+    return [
+        f'fingers_{size} {fingers}',
+        f'fingers_cpu_us_{size} {ring_us:.1f}',
+        f'route_cpu_us_{size} {pick_us:.2f}',
+        f'merge_cpu_us_{size} {_merge_us(members):.1f}',
+    ]
+
+
+def _merge_us(members: Members) -> float:
+    template = make_member(5)
+    versions = itertools.count(template.version + 1)
+
+    def merge() -> None:
+        members.merge(dataclasses.replace(template, version=next(versions)))
+
+    return time_us(merge)
+
+
+def measure_messages() -> list[str]:
+    """Measure bytes and processor time of each message."""
+    quiet = messages.Heartbeat(1, False, [make_member(1)], 7, 12)
+    empty = messages.Heartbeat(1, False, [], 7, 12)
+    busy = messages.Heartbeat(
+        1,
+        False,
+        [make_member(number) for number in range(20)],
+        7,
+        12,
+        1.0,
+        {f'service{each}': ThresholdReport(2.5, 100) for each in range(10)},
+    )
+    return [
+        *_measure_message('heartbeat', quiet),
+        *_measure_message('heartbeat_20_news_10_thresholds', busy),
+        *_measure_message(
+            'call',
+            messages.Call(1, 'r' * 24, 1.5, 900, 2, 's', 'op', body=_BODY),
+        ),
+        *_measure_message(
+            'answer',
+            messages.Answer(1, Answered(200, [], _BODY)),
+        ),
+        f'bytes_announcement {_size_of(quiet) - _size_of(empty)}',
+    ]
+
+
+def _measure_message(name: str, message: messages.Message) -> list[str]:
+    kind, payload = encode(message)
+    encode_us = time_us(functools.partial(encode, message))
+    decode_us = time_us(functools.partial(decode, kind, payload))
+    return [
+        f'bytes_{name} {_size_of(message)}',
+        f'cpu_us_{name} {encode_us + decode_us:.1f}',
+    ]
+
+
+def _size_of(message: messages.Message) -> int:
+    return len(encode(message)[1]) + HEADER_BYTES
+
+
+def measure_policy() -> list[str]:
+    """Measure a configuration change at the target's number of services."""
+    state = AcceptedState()
+    for number in range(SERVICES):
+        state.apply(number, _record(number, None))
+    offsets = iter(range(SERVICES, SERVICES + 1000))
+    base = [0]
+
+    def change() -> None:
+        offset = next(offsets)
+        state.apply(offset, _record(0, base[0], offset))
+        base[0] = offset
+        state.policy()
+
+    change_us = time_us(change, 20)
+    return [
+        f'bytes_configuration_change {len(_record(0, 0))}',
+        f'cpu_us_configuration_change {change_us:.0f}',
+        f'bytes_whole_state {len(state.to_bytes())}',
+    ]
+
+
+def _record(number: int, base: int | None, salt: int = 0) -> bytes:
+    is_deepest = number % DEPTH == DEPTH - 1
+    operations = {
+        f'operation{each}': {
+            'level': 1,
+            'idempotent': True,
+            'callees': (
+                [] if is_deepest else [f'service{number + 1}/operation{each}']
+            ),
+        }
+        for each in range(OPERATIONS)
+    }
+    return json.dumps(
+        {
+            'schema': 2,
+            'id': f'record-{number}-{salt}',
+            'subject': f'service/service{number}',
+            'based_on': base,
+            'body': {'operations': operations},
+        }
+    ).encode()
+
+
+def main() -> None:
+    """Measure everything and print a line for each figure."""
+    argparse.ArgumentParser(description=__doc__.splitlines()[0]).parse_args()
+    lines = []
+    for size in (1, *SIZES):
+        lines.append(f'resident_kib_{size} {measure_memory(size)}')
+    lines.extend(measure_members())
+    lines.extend(measure_messages())
+    lines.extend(measure_policy())
+    sys.stdout.write(''.join(f'{line}\n' for line in lines))
+
+
+if __name__ == '__main__':
+    main()
--- a/bergamotmount/tools/fleet.py
+++ b/bergamotmount/tools/fleet.py
@@ -136,6 +136,10 @@
                     while await status_of(session, node) is None:
                         await asyncio.sleep(_POLL_S)
 
+    def override(self, settings: dict[str, dict[str, str]]) -> None:
+        """Change settings of the nodes that are started from now on."""
+        self._overrides = settings
+
     async def kill(self, name: str) -> None:
         """Kill one process at once."""
         process = self._process_by_name.pop(name)
@@ -179,11 +183,6 @@
         async with aiohttp.ClientSession() as session:
             await session.post(url, json=tuning)
 
-    async def control_log(self, **switches: object) -> None:
-        """Switch faults of the log stand-in."""
-        async with aiohttp.ClientSession() as session:
-            await session.post(f'{self.log_url}/control', json=switches)
-
     def _plan(self) -> None:
         for service, figures in self.deployment.service_by_name.items():
             self.control_by_service[service] = free_addresses(1)[0]
