--- a/bergamotmount/heartbeats.py
+++ b/bergamotmount/heartbeats.py
@@ -26,7 +26,16 @@
 MAX_NEWS = 50
 
 #: Peers that were heard within this many intervals get news.
-PEER_LIFE_INTERVALS = 6
+PEER_LIFE_INTERVALS = 10
+
+#: Fingers that are asked at every interval; the others, at this multiple.
+NEAR_FINGERS = 3
+FAR_INTERVALS = 4
+
+#: Intervals of silence after which a connection is given up, and a peer
+#: suspected at the earliest.
+SILENT_INTERVALS = 2
+SUSPECT_INTERVALS = 3
 
 _JITTER = 0.1
 
@@ -78,6 +87,7 @@
         self._sequence = itertools.count()
         self._peer_by_node: dict[str, _Peer] = {}
         self._task_by_node: dict[str, asyncio.Task] = {}
+        self._interval_by_node: dict[str, float] = {}
         self._suspected_ms_by_node: dict[str, float] = {}
         self._fingers_of: list[Member] = []
         self._urgent = asyncio.Event()
@@ -217,36 +227,50 @@
         if alive is self._fingers_of:
             return
         self._fingers_of = alive
-        wanted = {
-            member.node: member
-            for member in find_fingers(self._members.own_node, alive)
+        fingers = find_fingers(self._members.own_node, alive)
+        interval_by_node = {
+            finger.node: self._interval_ms(number)
+            for number, finger in enumerate(fingers)
         }
-        for node in sorted(self._task_by_node.keys() - wanted.keys()):
+        for finger in fingers:
+            self._peer_of(finger)
+        self._follow(interval_by_node)
+
+    def _interval_ms(self, number: int) -> float:
+        if number < NEAR_FINGERS:
+            return self._times.interval_ms
+        return self._times.interval_ms * FAR_INTERVALS
+
+    def _follow(self, interval_by_node: dict[str, float]) -> None:
+        followed = self._interval_by_node.items()
+        wanted = interval_by_node.items()
+        for node, _ in sorted(followed - wanted):
             self._task_by_node.pop(node).cancel()
-        for node in sorted(wanted.keys() - self._task_by_node.keys()):
-            peer = self._peer_of(wanted[node])
-            peer.heard_ms = self._clock.now_ms()
-            task = asyncio.create_task(self._exchange(node))
+        for node, interval_ms in sorted(wanted - followed):
+            self._peer_by_node[node].heard_ms = self._clock.now_ms()
+            task = asyncio.create_task(self._exchange(node, interval_ms))
             self._task_by_node[node] = task
+        self._interval_by_node = interval_by_node
 
-    async def _exchange(self, node: str) -> None:
+    async def _exchange(self, node: str, interval_ms: float) -> None:
         while True:
             started_ms = self._clock.now_ms()
             self._send_to(node)
             jitter = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
-            await self._clock.sleep(self._times.interval_ms * jitter)
-            self._note_pause(started_ms)
-            await self._check_silence(node)
+            await self._clock.sleep(interval_ms * jitter)
+            self._note_pause(started_ms + interval_ms)
+            await self._check_silence(node, interval_ms)
 
-    async def _check_silence(self, node: str) -> None:
+    async def _check_silence(self, node: str, interval_ms: float) -> None:
         peer = self._peer_by_node.get(node)
         if peer is None:
             return
         silent_ms = self._clock.now_ms() - peer.heard_ms
-        if silent_ms > 2 * self._times.interval_ms:
+        if silent_ms > SILENT_INTERVALS * interval_ms:
             # Perhaps only the connection is dead: ask over a new one.
             await self._links.link(peer.address).reopen()
-        if silent_ms > self._times.suspect_ms:
+        least_ms = SUSPECT_INTERVALS * interval_ms
+        if silent_ms > max(self._times.suspect_ms, least_ms):
             news = self._members.suspect(node)
             if news is not None:
                 now_ms = self._clock.now_ms()
