--- a/bergamotmount/egress.py
+++ b/bergamotmount/egress.py
@@ -379,19 +379,26 @@
         retry = _Retry(RetryReason.REFUSED, outcome)
         return self._retry_elsewhere(attempts, retry)
 
-    def _judge_not_sent(self, attempts: _Attempts) -> Outcome | _Retry:
+    def _judge_not_sent(self, attempts: _Attempts) -> _Retry:
+        outcome: Outcome = NotRun(RefusalReason.UNREACHABLE, RETRY_AFTER_MS)
+        needs_home = attempts.has_callers_ticket or attempts.may_have_run
+        if needs_home:
+            # An earlier copy of the request may be running at its home.
+            outcome = Unknown(UnknownReason.HOME_UNREACHABLE)
         retry = _Retry(
             RetryReason.UNREACHABLE,
-            NotRun(RefusalReason.UNREACHABLE, RETRY_AFTER_MS),
+            outcome,
+            same_home=needs_home and bool(attempts.ticket),
         )
-        if attempts.has_callers_ticket or attempts.may_have_run:
-            outcome = Unknown(UnknownReason.HOME_UNREACHABLE)
-            retry = _Retry(RetryReason.UNREACHABLE, outcome, same_home=True)
         return self._retry_elsewhere(attempts, retry)
 
     def _retry_elsewhere(self, attempts: _Attempts, retry: _Retry) -> _Retry:
-        if not (retry.same_home and attempts.ticket):
-            attempts.ticket = ''
+        if retry.same_home and attempts.ticket:
+            return retry
+        attempts.ticket = ''
+        if not retry.same_home:
+            # After a lost connection the same server may well answer over a
+            # new one; the router avoids it for a moment anyway.
             attempts.tried.add(attempts.server.node)
         return retry
 
