--- a/bergamotmount/adapters/callers.py
+++ b/bergamotmount/adapters/callers.py
@@ -8,10 +8,11 @@
 from multidict import CIMultiDict
 
 from bergamotmount.adapters import headers
-from bergamotmount.egress import Egress, Request
+from bergamotmount.egress import Egress
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.rank import LEVELS
 from bergamotmount.reasons import RefusalReason
+from bergamotmount.request import Request
 from bergamotmount.ticketissuer import TicketIssuer
 
 #: Largest request body in bytes, by default.
--- a/bergamotmount/distribution.py
+++ b/bergamotmount/distribution.py
@@ -9,7 +9,6 @@
 import random
 from collections.abc import Callable
 
-
 from bergamotmount import events
 from bergamotmount.acceptance import (
     AcceptedState,
--- a/bergamotmount/egress.py
+++ b/bergamotmount/egress.py
@@ -1,42 +1,26 @@
 """Egress: takes requests from callers and sends them to backend servers.
 
-A request becomes one call, and after a failure perhaps more: the egress picks
-a server, lends it retry tokens, judges the reply and decides on a retry. What
-it answers is true whatever was lost: "not run" is said only when no attempt
-can have run::
+It makes the context of a request, checks what can be refused at once, and
+leaves the attempts to :mod:`bergamotmount.attempts`::
 
     outcome = await egress.call(Request('billhouse', 'invoice', body=order))
 """
 
 import asyncio
 import contextlib
-import dataclasses
-import itertools
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
+from bergamotmount.attempts import AttemptRunner, EgressParts
 from bergamotmount.clock import Clock
-from bergamotmount.context import Context, InHand
+from bergamotmount.context import Context
 from bergamotmount.counters import Counters
-from bergamotmount.door import RETRY_AFTER_MS, Door
-from bergamotmount.member import Member
-from bergamotmount.membership import Members
-from bergamotmount.messages import Answer, Call
-from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
-from bergamotmount.policy import Operation, Policy
-from bergamotmount.ports import Lost, NotSent, PeerTransport, Reply
+from bergamotmount.door import RETRY_AFTER_MS
+from bergamotmount.outcomes import NotRun, Outcome, Unknown
+from bergamotmount.policy import Operation
 from bergamotmount.rank import rank_of
-from bergamotmount.reasons import (
-    REFUSED_BY_LOAD,
-    NoRetryReason,
-    RefusalReason,
-    RetryReason,
-    UnknownReason,
-)
-from bergamotmount.retry import RetryRatio, backoff_ms
-from bergamotmount.routing import Router
-from bergamotmount.threshold import ThresholdView
-from bergamotmount.ticketissuer import TicketIssuer
+from bergamotmount.reasons import RefusalReason
+from bergamotmount.request import Request
 from bergamotmount.tokens import RetryPool
 
 #: Deepest chain of calls that is served.
@@ -46,69 +30,6 @@
 _ROOT_BITS = 96
 
 
-@dataclasses.dataclass(slots=True)
-class Request:
-    """What a caller asks for.
-
-    ``deadline_ms`` is the time that the caller grants from now on, ``None``
-    for the operation's own; ``level`` may only lower the importance that the
-    operation has by policy. ``parent`` is the key of the request on whose
-    behalf a backend server calls, empty for an outside caller.
-    """
-
-    service: str
-    operation: str
-    method: str = 'POST'
-    headers: list[str] = dataclasses.field(default_factory=list)
-    body: bytes = b''
-    deadline_ms: float | None = None
-    level: int = 0
-    ticket: str = ''
-    parent: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Retry:
-    reason: RetryReason
-    outcome: Outcome
-    same_home: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _Attempts:
-    """The attempts at one call."""
-
-    request: Request
-    context: Context
-    server: Member | None = None
-    ticket: str = ''
-    tries: int = 0
-    may_have_run: bool = False
-    tried: set[str] = dataclasses.field(default_factory=set)
-
-    @property
-    def has_callers_ticket(self) -> bool:
-        return bool(self.request.ticket)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EgressParts:
-    """Parts that an egress works with.
-
-    ``policy`` returns the policy in force, ``view`` keeps what answers tell
-    of thresholds, ``in_hand`` knows the parents of child calls.
-    """
-
-    members: Members
-    router: Router
-    transport: PeerTransport
-    issuer: TicketIssuer
-    door: Door
-    view: ThresholdView
-    in_hand: InHand
-    policy: Callable[[], Policy]
-
-
 class Egress:
     """Serves callers of this node, outside ones and the own server."""
 
@@ -125,8 +46,7 @@
         self._parts = parts
         self._counters = counters
         self._rng = rng
-        self._attempt_ids = itertools.count(1)
-        self._ratio_by_service: dict[str, RetryRatio] = {}
+        self._attempts = AttemptRunner(clock, parts, counters, rng)
 
     async def call(self, request: Request) -> Outcome:
         """Return the outcome of a request.
@@ -163,9 +83,9 @@
         if refusal is not None:
             return refusal
         if parent is None:
-            return await self._attempt_all(_Attempts(request, context))
+            return await self._attempts.run(request, context)
         with _as_child(parent):
-            return await self._attempt_all(_Attempts(request, context))
+            return await self._attempts.run(request, context)
 
     def _find_operation(self, request: Request) -> Operation | NotRun:
         operation_by_name = self._parts.policy().operation_by_name
@@ -241,229 +161,6 @@
         # The parent may run twice, and would run this call twice with it.
         return NotRun(RefusalReason.UNDECLARED_CALLEE)
 
-    async def _attempt_all(self, attempts: _Attempts) -> Outcome:
-        self._ratio(attempts).first_try(self._parts.policy().retries.ratio)
-        while True:
-            judged = await self._attempt(attempts)
-            if not isinstance(judged, _Retry):
-                return self._finish(attempts, judged)
-            if not await self._may_retry(attempts, judged):
-                return self._finish(attempts, judged.outcome)
-
-    async def _attempt(self, attempts: _Attempts) -> Outcome | _Retry:
-        problem = self._choose_server(attempts)
-        if problem is not None:
-            return problem
-        attempts.tries += 1
-        server = attempts.server
-        lent = attempts.context.pool.lend()
-        call = self._make_call(attempts, lent)
-        self._parts.router.sent(server.node)
-        try:
-            reply = await self._parts.transport.call(server, call)
-        finally:
-            self._parts.router.returned(server.node)
-        return self._judge(attempts, reply, lent)
-
-    def _choose_server(self, attempts: _Attempts) -> Outcome | None:
-        if attempts.has_callers_ticket:
-            return self._choose_home(attempts)
-        if attempts.ticket:
-            return None
-        service = attempts.request.service
-        attempts.server = self._parts.router.pick(service, attempts.tried)
-        if attempts.server is None:
-            return NotRun(RefusalReason.NO_SERVER, RETRY_AFTER_MS)
-        if not attempts.context.idempotent:
-            attempts.ticket = self._parts.issuer.for_server(attempts.server)
-        return None
-
-    def _choose_home(self, attempts: _Attempts) -> Outcome | None:
-        ticket = self._parts.issuer.read(attempts.request.ticket)
-        if ticket is None or ticket.service != attempts.request.service:
-            fresh = self._parts.issuer.for_service(attempts.request.service)
-            return NotRun(RefusalReason.TICKET_INVALID, ticket=fresh)
-        home = self._parts.members.member_by_node.get(ticket.home)
-        if home is None:
-            return Unknown(UnknownReason.HOME_UNREACHABLE)
-        if home.incarnation > ticket.incarnation:
-            return Unknown(UnknownReason.HOME_RESTARTED)
-        attempts.server = home
-        attempts.ticket = attempts.request.ticket
-        return None
-
-    def _make_call(self, attempts: _Attempts, lent: int) -> Call:
-        request, context = attempts.request, attempts.context
-        return Call(
-            attempt=next(self._attempt_ids),
-            root=context.root,
-            rank=context.rank,
-            remaining_ms=int(context.deadline_ms - self._clock.now_ms()),
-            tokens=lent,
-            service=request.service,
-            operation=request.operation,
-            method=request.method,
-            headers=request.headers,
-            body=request.body,
-            ticket=attempts.ticket,
-            idempotent=context.idempotent,
-            depth=context.depth,
-        )
-
-    def _judge(
-        self,
-        attempts: _Attempts,
-        reply: Reply,
-        lent: int,
-    ) -> Outcome | _Retry:
-        node = attempts.server.node
-        match reply:
-            case Answer():
-                attempts.context.pool.give_back(reply.tokens, lent)
-                self._hear(attempts.server, reply)
-                return self._judge_outcome(attempts, reply.outcome)
-            case NotSent():
-                attempts.context.pool.give_back(lent, lent)
-                self._parts.router.failed(node)
-                return self._judge_not_sent(attempts)
-            case Lost(by_deadline=True):
-                attempts.may_have_run = True
-                return Unknown(UnknownReason.ANSWER_LATE)
-            case Lost():
-                attempts.may_have_run = True
-                self._parts.router.failed(node)
-                outcome = Unknown(UnknownReason.ANSWER_LOST)
-                return self._retry_elsewhere(
-                    attempts,
-                    _Retry(RetryReason.ANSWER_LOST, outcome, same_home=True),
-                )
-
-    def _judge_outcome(
-        self,
-        attempts: _Attempts,
-        outcome: Outcome,
-    ) -> Outcome | _Retry:
-        match outcome:
-            case Answered():
-                return outcome
-            case NotRun():
-                return self._judge_refusal(attempts, outcome)
-            case Unknown(UnknownReason.HOME_RESTARTED) if (
-                not attempts.has_callers_ticket and not attempts.may_have_run
-            ):
-                # Only the earlier incarnation could run the ticket, and it
-                # never got it.
-                return self._judge_not_sent(attempts)
-            case Unknown():
-                attempts.may_have_run = True
-                if not attempts.context.idempotent:
-                    self._counters.not_retried(NoRetryReason.NOT_IDEMPOTENT)
-                    return outcome
-                retry = _Retry(RetryReason.ANSWER_LOST, outcome)
-                return self._retry_elsewhere(attempts, retry)
-
-    def _judge_refusal(
-        self,
-        attempts: _Attempts,
-        outcome: NotRun,
-    ) -> Outcome | _Retry:
-        if attempts.ticket:
-            # The home voided the ticket before it answered, so no earlier
-            # copy of this call has run either.
-            attempts.may_have_run = False
-        if outcome.reason not in REFUSED_BY_LOAD:
-            self._counters.not_retried(NoRetryReason.NOT_REFUSED_BY_LOAD)
-            return outcome
-        if attempts.has_callers_ticket:
-            return outcome
-        retry = _Retry(RetryReason.REFUSED, outcome)
-        return self._retry_elsewhere(attempts, retry)
-
-    def _judge_not_sent(self, attempts: _Attempts) -> _Retry:
-        outcome: Outcome = NotRun(RefusalReason.UNREACHABLE, RETRY_AFTER_MS)
-        needs_home = attempts.has_callers_ticket or attempts.may_have_run
-        if needs_home:
-            # An earlier copy of the request may be running at its home.
-            outcome = Unknown(UnknownReason.HOME_UNREACHABLE)
-        retry = _Retry(
-            RetryReason.UNREACHABLE,
-            outcome,
-            same_home=needs_home and bool(attempts.ticket),
-        )
-        return self._retry_elsewhere(attempts, retry)
-
-    def _retry_elsewhere(self, attempts: _Attempts, retry: _Retry) -> _Retry:
-        if retry.same_home and attempts.ticket:
-            return retry
-        attempts.ticket = ''
-        if not retry.same_home:
-            # After a lost connection the same server may well answer over a
-            # new one; the router avoids it for a moment anyway.
-            attempts.tried.add(attempts.server.node)
-        return retry
-
-    async def _may_retry(self, attempts: _Attempts, retry: _Retry) -> bool:
-        policy = self._parts.policy().retries
-        wait_ms = backoff_ms(policy.backoff_ms, attempts.tries, self._rng)
-        obstacle = self._find_obstacle(attempts, wait_ms)
-        if obstacle is not None:
-            self._counters.not_retried(obstacle)
-            return False
-        self._counters.retried(retry.reason)
-        await self._clock.sleep(wait_ms)
-        return True
-
-    def _find_obstacle(
-        self,
-        attempts: _Attempts,
-        wait_ms: float,
-    ) -> NoRetryReason | None:
-        left_ms = attempts.context.deadline_ms - self._clock.now_ms()
-        if left_ms <= wait_ms:
-            return NoRetryReason.DEADLINE
-        if not attempts.ticket and self._is_last(attempts):
-            return NoRetryReason.NO_OTHER_SERVER
-        if not attempts.context.pool.tokens:
-            return NoRetryReason.NO_TOKEN
-        if not self._ratio(attempts).take():
-            return NoRetryReason.RATIO
-        attempts.context.pool.take()
-        return None
-
-    def _is_last(self, attempts: _Attempts) -> bool:
-        service = attempts.request.service
-        return self._parts.router.pick(service, attempts.tried) is None
-
-    def _finish(self, attempts: _Attempts, outcome: Outcome) -> Outcome:
-        match outcome:
-            case NotRun() if attempts.may_have_run:
-                # An earlier attempt was lost and may have run.
-                return Unknown(UnknownReason.ANSWER_LOST)
-            case NotRun(ticket='') if attempts.has_callers_ticket:
-                fresh = self._parts.issuer.for_service(
-                    attempts.request.service,
-                    attempts.server.node,
-                )
-                return dataclasses.replace(outcome, ticket=fresh)
-            case _:
-                return outcome
-
-    def _hear(self, server: Member, answer: Answer) -> None:
-        self._parts.router.reported(server.node, answer.load_permille)
-        self._parts.view.hear_direct(
-            server.service, server.node, answer.threshold
-        )
-        for service, report in answer.thresholds.items():
-            self._parts.view.hear_indirect(service, report)
-
-    def _ratio(self, attempts: _Attempts) -> RetryRatio:
-        service = attempts.request.service
-        ratio = self._ratio_by_service.get(service)
-        if ratio is None:
-            ratio = RetryRatio()
-            self._ratio_by_service[service] = ratio
-        return ratio
-
 
 @contextlib.contextmanager
 def _as_child(parent: Context) -> Iterator[None]:
--- a/bergamotmount/membership.py
+++ b/bergamotmount/membership.py
@@ -13,7 +13,6 @@
 import dataclasses
 from collections.abc import Iterable
 
-
 from bergamotmount.clock import Clock
 from bergamotmount.hashing import hash64
 from bergamotmount.member import GONE, Member, MemberState
--- a/bergamotmount/node.py
+++ b/bergamotmount/node.py
@@ -7,12 +7,13 @@
 
 from bergamotmount import events
 from bergamotmount.admission import Admission
+from bergamotmount.attempts import EgressParts
 from bergamotmount.clock import Clock
 from bergamotmount.context import InHand
 from bergamotmount.counters import Counters
 from bergamotmount.distribution import DistributionTimes, PolicyDistribution
 from bergamotmount.door import Door
-from bergamotmount.egress import Egress, EgressParts
+from bergamotmount.egress import Egress
 from bergamotmount.heartbeats import Heartbeats, HeartbeatTimes
 from bergamotmount.ingress import Ingress, ServerGate
 from bergamotmount.joining import LogJoin
--- a/bergamotmount/tests/fakes.py
+++ b/bergamotmount/tests/fakes.py
@@ -11,7 +11,6 @@
 from bergamotmount.clock import MS_PER_SECOND, LoopClock
 from bergamotmount.counters import Counters
 from bergamotmount.distribution import DistributionTimes
-from bergamotmount.egress import Request
 from bergamotmount.messages import Call, Message
 from bergamotmount.node import Node, NodeIdentity, NodeOptions, NodePorts
 from bergamotmount.outcomes import Answered, NotRun
@@ -24,6 +23,7 @@
     ServerReply,
     ServerShed,
 )
+from bergamotmount.request import Request
 
 KEY = 'a-ticket-key-for-tests'
 LATENCY_MS = 1.5
--- a/bergamotmount/tests/policymatrix.py
+++ b/bergamotmount/tests/policymatrix.py
@@ -14,11 +14,11 @@
 from bergamotmount.acceptance import Verdict, VerdictKind
 from bergamotmount.clock import LoopClock
 from bergamotmount.publishing import Publisher
+from bergamotmount.tests import faults
 from bergamotmount.tests.fakes import FakeHost, World, record
 from bergamotmount.tests.virtualtime import run_virtual
 
 IN_FORCE_S = 3
-FAULT_S = 4
 PUBLISH_MS = 30_000
 
 #: Steps of publish, accept, distribute, checkpoint and restart.
@@ -53,6 +53,7 @@
         self.cell = cell
         self.world = World()
         self.problems: list[str] = []
+        self.drained_ms: dict[str, float] = {}
         self.offset_by_sender: dict[int, int] = {}
         self._struck = False
         self._effects: list[asyncio.Task] = []
@@ -172,22 +173,6 @@
             self.problems.append(f'not {wanted} everywhere: {behind}')
 
 
-async def _kill(run: PolicyRun, host: FakeHost) -> None:
-    host.kill()
-
-
-async def _restart(run: PolicyRun, host: FakeHost) -> None:
-    host.kill()
-    await asyncio.sleep(0.5)
-    host.start()
-
-
-async def _freeze(run: PolicyRun, host: FakeHost) -> None:
-    host.freeze()
-    await asyncio.sleep(FAULT_S)
-    host.thaw()
-
-
 async def _cut_log(run: PolicyRun, host: FakeHost) -> None:
     for other in run.world.host_by_name.values():
         if other.domain == host.domain:
@@ -199,26 +184,10 @@
     for one, other in itertools.permutations(hosts, 2):
         if one.domain != other.domain:
             run.world.network.cut(one.name, other.name)
-    await asyncio.sleep(FAULT_S)
+    await asyncio.sleep(faults.FAULT_S)
     run.world.network.cuts.clear()
 
 
-async def _log_down(run: PolicyRun, host: FakeHost) -> None:
-    run.world.log.is_down = True
-    await asyncio.sleep(FAULT_S)
-    run.world.log.is_down = False
-
-
-async def _log_slow(run: PolicyRun, host: FakeHost) -> None:
-    run.world.log.slow_ms = 1500
-    await asyncio.sleep(FAULT_S)
-    run.world.log.slow_ms = 0
-
-
-async def _lose_append(run: PolicyRun, host: FakeHost) -> None:
-    run.world.log.lose_answers = 2
-
-
 async def _retention(run: PolicyRun, host: FakeHost) -> None:
     """Let everything before a checkpoint at the end be forgotten."""
     log = run.world.log
@@ -232,14 +201,19 @@
 
 
 FAULT_BY_NAME = {
-    'kill': _kill,
-    'restart': _restart,
-    'freeze': _freeze,
+    **{
+        name: faults.FAULT_BY_NAME[name]
+        for name in (
+            'kill',
+            'restart',
+            'freeze',
+            'log-down',
+            'log-slow',
+            'lose-append',
+        )
+    },
     'cut-log': _cut_log,
     'cut-domains': _cut_domains,
-    'log-down': _log_down,
-    'log-slow': _log_slow,
-    'lose-append': _lose_append,
     'retention': _retention,
 }
 
--- a/bergamotmount/tests/test_faultmatrix.py
+++ b/bergamotmount/tests/test_faultmatrix.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from bergamotmount import (
-    egress,
+    attempts,
     lifecycle,
     member,
     node,
@@ -61,7 +61,7 @@
     return ticketstore.Granted()
 
 
-def _say_not_run(_egress, attempts, outcome):
+def _say_not_run(_runner, _attempts, outcome):
     match outcome:
         case Unknown():
             return NotRun(RefusalReason.UNREACHABLE, ticket='')
@@ -69,7 +69,7 @@
             return outcome
 
 
-def _forget_tried(_egress, _attempts, retry):
+def _forget_tried(_runner, _attempts, retry):
     return retry
 
 
@@ -78,7 +78,9 @@
     with (
         mock.patch.object(tokens.RetryPool, 'take', lambda _pool: True),
         mock.patch.object(tokens.RetryPool, 'tokens', 1),
-        mock.patch.object(egress.Egress, '_retry_elsewhere', _forget_tried),
+        mock.patch.object(
+            attempts.AttemptRunner, '_retry_elsewhere', _forget_tried
+        ),
     ):
         yield
 
@@ -128,7 +130,7 @@
         'restart@running:home:once:1',
     ),
     'a lost call is unknown': (
-        _patch(egress.Egress, '_finish', _say_not_run),
+        _patch(attempts.AttemptRunner, '_finish', _say_not_run),
         'kill@dispatched:home:once:1',
     ),
     'retry tokens run out': (
--- a/bergamotmount/tests/test_node.py
+++ b/bergamotmount/tests/test_node.py
@@ -3,11 +3,11 @@
 import asyncio
 import itertools
 
-from bergamotmount.egress import Request
 from bergamotmount.member import MemberState
 from bergamotmount.messages import Answer
 from bergamotmount.outcomes import Answered, NotRun
 from bergamotmount.reasons import DropReason, RefusalReason
+from bergamotmount.request import Request
 from bergamotmount.tests.fakes import World, operation, record
 from bergamotmount.tests.virtualtime import VirtualTestCase
 
--- a/bergamotmount/tools/bench_latency.py
+++ b/bergamotmount/tools/bench_latency.py
@@ -19,8 +19,8 @@
 from hdrh.histogram import HdrHistogram
 
 from bergamotmount.tools.deployments import (
-    Deployment,
     DemoOperation,
+    Deployment,
     ServiceFigures,
 )
 from bergamotmount.tools.fleet import Fleet
--- a/bergamotmount/tools/bench_overload.py
+++ b/bergamotmount/tools/bench_overload.py
@@ -17,8 +17,8 @@
 import uvloop
 
 from bergamotmount.tools.deployments import (
-    Deployment,
     DemoOperation,
+    Deployment,
     ServiceFigures,
 )
 from bergamotmount.tools.fleet import Fleet
--- a/bergamotmount/tools/process.py
+++ b/bergamotmount/tools/process.py
@@ -10,7 +10,6 @@
 import uvloop
 from aiohttp import web
 
-
 _Work = TypeVar('_Work')
 
 #: Closes something that a program opened.
