Give the queue as many places as there are slots

Cause: a request that reaches the deepest service has cost the work above it; while its deadline can be met, waiting is cheaper than refusing it.

--- a/bergamotmount/admission.py
+++ b/bergamotmount/admission.py
@@ -24,10 +24,10 @@
 from bergamotmount.threshold import ThresholdController
 
 #: Queue places for each slot of the limit.
-QUEUE_PER_SLOT = 0.5
+QUEUE_PER_SLOT = 1
 
 #: Least number of queue places.
-MIN_QUEUE = 4
+MIN_QUEUE = 8
 
 #: Least wait that a refused caller is advised, in milliseconds.
 MIN_RETRY_AFTER_MS = 100
