Replace metaphors by the field's terms

Cause: read as a newcomer, door, bury and farewell needed explaining. They are the entry check, counted as gone, and the last news now; the setting bury_ms is gone_ms.

--- a/bergamotmount/attempts.py
+++ b/bergamotmount/attempts.py
@@ -12,7 +12,7 @@
 from bergamotmount.clock import Clock
 from bergamotmount.context import Context, InHand
 from bergamotmount.counters import Counters
-from bergamotmount.door import RETRY_AFTER_MS, Door
+from bergamotmount.entrycheck import RETRY_AFTER_MS, EntryCheck
 from bergamotmount.member import Member
 from bergamotmount.membership import Members
 from bergamotmount.messages import Answer, Call
@@ -45,7 +45,7 @@
     router: Router
     transport: PeerTransport
     issuer: TicketIssuer
-    door: Door
+    entry_check: EntryCheck
     view: ThresholdView
     in_hand: InHand
     policy: Callable[[], Policy]
--- a/bergamotmount/egress.py
+++ b/bergamotmount/egress.py
@@ -15,7 +15,7 @@
 from bergamotmount.clock import Clock
 from bergamotmount.context import Context
 from bergamotmount.counters import Counters
-from bergamotmount.door import RETRY_AFTER_MS
+from bergamotmount.entrycheck import RETRY_AFTER_MS
 from bergamotmount.outcomes import NotRun, Outcome, Unknown
 from bergamotmount.policy import Operation
 from bergamotmount.rank import rank_of
@@ -140,12 +140,12 @@
         if parent is not None:
             return self._check_child(context, parent)
         if request.ticket:
-            # Its home checks the door: a repeat may join its first copy.
+            # Its home does the entry check: a repeat may join its first copy.
             return None
         if not context.idempotent:
             ticket = self._parts.issuer.for_service(request.service)
             return NotRun(RefusalReason.TICKET_MISSING, ticket=ticket)
-        return self._parts.door.check(
+        return self._parts.entry_check.check(
             request.service,
             request.operation,
             context.rank,
--- a/bergamotmount/door.py
+++ b/bergamotmount/entrycheck.py
@@ -1,4 +1,6 @@
-"""Door: refuses a root request that a service it needs would refuse.
+"""Check at the entry: refuses what a needed service would refuse.
+
+A root request is compared with the thresholds of all services it needs.
 
 Checked where a request enters the graph, before any work is done for it.
 """
@@ -15,14 +17,14 @@
 #: One in this many requests over the threshold is let in as a probe.
 PROBE_ONE_IN = 200
 
-#: Least advice to a caller that is refused at the door, in milliseconds.
+#: Least advice to a caller that is refused at the entry, in milliseconds.
 RETRY_AFTER_MS = 500
 
 #: Greatest factor on the advice when a threshold is almost closed.
 MAX_PRESSURE = 8
 
 
-class Door:
+class EntryCheck:
     """Compares root requests with the thresholds of all they need."""
 
     def __init__(
--- a/bergamotmount/heartbeats.py
+++ b/bergamotmount/heartbeats.py
@@ -2,8 +2,9 @@
 
 Each node exchanges heartbeats with its fingers in the ring of members. News
 goes out at once to all peers of the last seconds, and what was missed is found
-by comparing digests. A peer that stays silent is suspected, then buried; a
-peer that is gone is probed now and then, so that a healed cut is noticed.
+by comparing digests. A peer that stays silent is suspected and later counts as
+gone; a peer that is gone is probed now and then, so that a healed cut is
+noticed.
 """
 
 import asyncio
@@ -45,12 +46,12 @@
     """Timing of heartbeats, in milliseconds.
 
     ``suspect_ms`` is the silence after which a peer is suspected, and
-    ``bury_ms`` how long it may stay suspected.
+    ``gone_ms`` how long it may stay suspected.
     """
 
     interval_ms: int = 500
     suspect_ms: int = 1500
-    bury_ms: int = 1500
+    gone_ms: int = 1500
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,7 +102,7 @@
                 self._follow_fingers()
                 await self._wait_until_urgent()
                 self._note_pause(started_ms)
-                self._bury_suspects()
+                self._mark_suspects_gone()
                 self._members.forget_old()
         finally:
             for task in self._task_by_node.values():
@@ -125,7 +126,7 @@
         """Send a heartbeat to all peers now, without waiting its turn."""
         self._urgent.set()
 
-    def farewell(self) -> None:
+    def send_last_news(self) -> None:
         """Send the last news before this node stops."""
         for node in list(self._peer_by_node):
             self._send_to(node)
@@ -277,15 +278,15 @@
                 self._suspected_ms_by_node.setdefault(node, now_ms)
                 self._announce(news)
 
-    def _bury_suspects(self) -> None:
-        oldest_ms = self._clock.now_ms() - self._times.bury_ms
+    def _mark_suspects_gone(self) -> None:
+        oldest_ms = self._clock.now_ms() - self._times.gone_ms
         for node, since_ms in list(self._suspected_ms_by_node.items()):
             member = self._members.member_by_node.get(node)
             if member is None or member.state is not MemberState.SUSPECTED:
                 self._suspected_ms_by_node.pop(node)
             elif since_ms < oldest_ms:
                 self._suspected_ms_by_node.pop(node)
-                news = self._members.bury(node)
+                news = self._members.mark_gone(node)
                 if news is not None:
                     self._announce(news)
 
--- a/bergamotmount/ingress.py
+++ b/bergamotmount/ingress.py
@@ -15,7 +15,7 @@
 from bergamotmount.clock import Clock
 from bergamotmount.context import Context, InHand
 from bergamotmount.counters import Counters
-from bergamotmount.door import Door
+from bergamotmount.entrycheck import EntryCheck
 from bergamotmount.lifecycle import ServerLifecycle, ServerState
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
@@ -66,7 +66,7 @@
         node: str,
         gate: ServerGate,
         mint: TicketMint,
-        door: Door,
+        entry_check: EntryCheck,
         counters: Counters,
     ) -> None:
         """Serve as node ``node``; ``mint`` checks the tickets of calls."""
@@ -74,7 +74,7 @@
         self._clock = clock
         self._node = node
         self._mint = mint
-        self._door = door
+        self._entry_check = entry_check
         self._counters = counters
 
     async def handle(self, call: Call) -> Answer:
@@ -93,7 +93,7 @@
             outcome=outcome,
             tokens=work.pool.close(),
             threshold=self.gate.controller.current(),
-            thresholds=self._door.view.reports(),
+            thresholds=self._entry_check.view.reports(),
             load_permille=self.gate.admission.load_permille,
         )
 
@@ -191,7 +191,9 @@
     def _is_over_threshold(self, call: Call) -> bool:
         if call.depth > 1 or not call.ticket:
             return False
-        refusal = self._door.check(call.service, call.operation, call.rank)
+        refusal = self._entry_check.check(
+            call.service, call.operation, call.rank
+        )
         return refusal is not None
 
     async def _dispatch(self, work: _Work) -> Outcome:
--- a/bergamotmount/membership.py
+++ b/bergamotmount/membership.py
@@ -73,7 +73,7 @@
         """Mark a silent node; return the news to spread, if it is any."""
         return self._degrade(node, MemberState.SUSPECTED)
 
-    def bury(self, node: str) -> Member | None:
+    def mark_gone(self, node: str) -> Member | None:
         """Mark a node as gone; return the news to spread, if it is any."""
         return self._degrade(node, MemberState.LEFT)
 
--- a/bergamotmount/node.py
+++ b/bergamotmount/node.py
@@ -12,8 +12,8 @@
 from bergamotmount.context import InHand
 from bergamotmount.counters import Counters
 from bergamotmount.distribution import DistributionTimes, PolicyDistribution
-from bergamotmount.door import Door
 from bergamotmount.egress import Egress
+from bergamotmount.entrycheck import EntryCheck
 from bergamotmount.heartbeats import Heartbeats, HeartbeatTimes
 from bergamotmount.ingress import Ingress, ServerGate
 from bergamotmount.joining import LogJoin
@@ -53,7 +53,7 @@
 STOP_CHECK_MS = 20
 
 #: Time that peers get to learn of a departure before the node closes.
-FAREWELL_MS = 300
+LEAVE_NOTICE_MS = 300
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,8 +165,8 @@
         """Wait for callers' requests, tell the peers, and close."""
         await self._wait_while(self._has_callers_work)
         self._announce(MemberState.LEFT)
-        self.heartbeats.farewell()
-        await self.ports.clock.sleep(FAREWELL_MS)
+        self.heartbeats.send_last_news()
+        await self.ports.clock.sleep(LEAVE_NOTICE_MS)
         self.close()
 
     def close(self) -> None:
@@ -232,7 +232,7 @@
     def _build_roles(self, options: NodeOptions) -> None:
         clock, rng = self.ports.clock, self.ports.rng
         mint = TicketMint(options.ticket_key)
-        door = Door(self.view, self._policy, rng)
+        entry_check = EntryCheck(self.view, self._policy, rng)
         service_time = ServiceTime(clock)
         limit = ConcurrencyLimit(clock)
         controller = ThresholdController(
@@ -254,7 +254,7 @@
             self.identity.node,
             self.gate,
             mint,
-            door,
+            entry_check,
             self.ports.counters,
         )
         issuer = TicketIssuer(clock, self.router, mint, options.ticket_life_ms)
@@ -263,7 +263,7 @@
             self.router,
             self,
             issuer,
-            door,
+            entry_check,
             self.view,
             self.gate.in_hand,
             self._policy,
--- a/bergamotmount/settings.py
+++ b/bergamotmount/settings.py
@@ -30,7 +30,7 @@
     'heartbeat': {
         'interval_ms': '500',
         'suspect_ms': '1500',
-        'bury_ms': '1500',
+        'gone_ms': '1500',
     },
     'policy': {
         'poll_ms': '2000',
@@ -146,7 +146,7 @@
 
     interval_ms: _PositiveMs
     suspect_ms: _PositiveMs
-    bury_ms: _PositiveMs
+    gone_ms: _PositiveMs
 
 
 class PolicySection(_Section):
--- a/bergamotmount/tests/test_faultmatrix.py
+++ b/bergamotmount/tests/test_faultmatrix.py
@@ -102,7 +102,7 @@
 def _no_waiting() -> Iterator[None]:
     with (
         mock.patch.object(node.Node, '_wait_while', _wait_for_nothing),
-        mock.patch.object(node, 'FAREWELL_MS', 0),
+        mock.patch.object(node, 'LEAVE_NOTICE_MS', 0),
     ):
         yield
 
--- a/bergamotmount/threshold.py
+++ b/bergamotmount/threshold.py
@@ -2,7 +2,7 @@
 
 Each ingress sets a threshold for its own backend server from the arrivals it
 sees and the work it finishes. Answers and heartbeats carry thresholds, so the
-entry node refuses at the door what would be refused deeper down, before any
+entry node refuses at the entry what would be refused deeper down, before any
 work is spent on it. A threshold without fresh reports fades until it is open.
 """
 
