--- a/bergamotmount/tests/faultmatrix.py
+++ b/bergamotmount/tests/faultmatrix.py
@@ -84,6 +84,7 @@
         self.told: list[tuple[str, object]] = []
         self.home: FakeHost | None = None
         self.drained_ms: dict[str, float] = {}
+        self.returned_ms: dict[str, float] = {}
         self.stopped: set[str] = set()
         self.calls_by_root: dict[str, Counter] = defaultdict(Counter)
         self.offsets: dict[int, int] = {}
@@ -287,7 +288,9 @@
             late = [
                 at_ms
                 for host, at_ms in self.world.truth.starts
-                if host == name and at_ms > drained_ms + LEAVING_MS
+                if host == name
+                and at_ms > drained_ms + LEAVING_MS
+                and not drained_ms <= self._returned(name) <= at_ms
             ]
             if late:
                 self._problem(f'{name} got new work {late} after {drained_ms}')
@@ -295,6 +298,10 @@
             for name, key in self.world.truth.interrupted:
                 self._problem(f'planned stop interrupted {key} at {name}')
 
+    def _returned(self, name: str) -> float:
+        """Return when a server that had left asked for work again."""
+        return self.returned_ms.get(name, float('inf'))
+
     def _check_policy(self) -> None:
         newest = len(self.world.log.bodies_by_stream['policy']) - 1
         for host in self.world.host_by_name.values():
--- a/bergamotmount/tests/faults.py
+++ b/bergamotmount/tests/faults.py
@@ -15,6 +15,7 @@
 
     world: World
     drained_ms: dict[str, float]
+    returned_ms: dict[str, float]
     stopped: set[str]
 
 
@@ -27,7 +28,7 @@
     await asyncio.sleep(0.3)
     host.start()
     # The server is back, so what follows is no work after a departure.
-    run.drained_ms.pop(host.name, None)
+    run.returned_ms[host.name] = host.clock.now_ms()
 
 
 async def _freeze(run: Run, host: FakeHost) -> None:
@@ -138,26 +139,31 @@
     run.world.log.lose_answers = 1
 
 
+def _note_departure(run: Run, host: FakeHost) -> None:
+    run.drained_ms[host.name] = host.clock.now_ms()
+    run.returned_ms.pop(host.name, None)
+
+
 async def _lapse(run: Run, host: FakeHost) -> None:
     host.node.lifecycle.lapse()
-    run.drained_ms[host.name] = host.clock.now_ms()
+    _note_departure(run, host)
 
 
 async def _drain(run: Run, host: FakeHost) -> None:
     host.node.lifecycle.drain()
-    run.drained_ms[host.name] = host.clock.now_ms()
+    _note_departure(run, host)
 
 
 async def _cold(run: Run, host: FakeHost) -> None:
     host.node.lifecycle.leave()
     host.node.announce_server(host.service, 4, cold=True)
     # As after a restart: the server itself asks for work again.
-    run.drained_ms.pop(host.name, None)
+    run.returned_ms[host.name] = host.clock.now_ms()
 
 
 async def _stop(run: Run, host: FakeHost) -> None:
     run.stopped.add(host.name)
-    run.drained_ms[host.name] = host.clock.now_ms()
+    _note_departure(run, host)
     await host.node.drain()
     await host.node.leave()
     host.kill()
--- a/bergamotmount/tests/policymatrix.py
+++ b/bergamotmount/tests/policymatrix.py
@@ -54,6 +54,7 @@
         self.world = World()
         self.problems: list[str] = []
         self.drained_ms: dict[str, float] = {}
+        self.returned_ms: dict[str, float] = {}
         self.offset_by_sender: dict[int, int] = {}
         self._struck = False
         self._effects: list[asyncio.Task] = []
--- a/bergamotmount/tests/test_acceptance.py
+++ b/bergamotmount/tests/test_acceptance.py
@@ -12,7 +12,8 @@
 from bergamotmount.ports import LogError, LogPage, LogRecord
 from bergamotmount.publishing import Publisher, PublishTimeout
 from bergamotmount.records import InvalidRecord, parse_document
-from bergamotmount.tests.fakes import FakeLog, operation, record, state_of
+from bergamotmount.tests.fakelog import FakeLog
+from bergamotmount.tests.fakes import operation, record, state_of
 from bergamotmount.tests.virtualtime import VirtualTestCase
 
 V1 = {
@@ -234,12 +235,6 @@
         self.assertFalse(follower.take_state(AcceptedState()))
         self.assertEqual(follower.state.offset, 19)
 
-    def test_without_that_guard_the_offset_would_go_back(self):
-        follower = Follower()
-        follower.take_page(page(self.bodies(), 0, 0))
-        follower.state = AcceptedState()
-        self.assertLess(follower.state.offset, 19)
-
 
 class PublisherTest(VirtualTestCase):
     """A lost answer is settled by the record's id."""
--- a/bergamotmount/tests/test_distribution.py
+++ b/bergamotmount/tests/test_distribution.py
@@ -6,7 +6,8 @@
 from unittest import mock
 
 from bergamotmount import distribution, follower
-from bergamotmount.tests.fakes import World, record
+from bergamotmount.messages import PolicyState
+from bergamotmount.tests.fakes import World, record, state_of
 from bergamotmount.tests.policymatrix import (
     PolicyCell,
     all_cells,
@@ -86,6 +87,37 @@
         world.close()
 
 
+def _take_any(a_follower, state):
+    a_follower.state = state
+    return True
+
+
+class RevertTest(VirtualTestCase):
+    """A peer's older state never replaces what is in force."""
+
+    async def retries_after_old_state(self) -> int:
+        world = World()
+        old = state_of(record('retries', {'per_request': 1}))
+        await world.publish(
+            record('retries', {'per_request': 1}),
+            record('retries', {'per_request': 5}, 0),
+        )
+        host = world.add('a1', 'a', 'fd-1')
+        host.start()
+        await asyncio.sleep(3)
+        host.node.receive(PolicyState(old.offset, old.to_bytes()))
+        retries = host.node.distribution.policy.retries.per_request
+        world.close()
+        return retries
+
+    async def test_an_old_state_changes_nothing(self):
+        self.assertEqual(await self.retries_after_old_state(), 5)
+
+    async def test_without_the_guard_it_would_revert(self):
+        with mock.patch.object(follower.Follower, 'take_state', _take_any):
+            self.assertEqual(await self.retries_after_old_state(), 1)
+
+
 class CutDomainTest(VirtualTestCase):
     """A domain that is cut off goes on alone and is taken back."""
 
