--- /dev/null
+++ b/bergamotmount/adapters/tallies.py
@@ -0,0 +1,80 @@
+"""Counters kept as plain numbers, served as Prometheus text.
+
+The Prometheus library is imported with the first scrape: a node that nobody
+scrapes doesn't hold it in memory.
+"""
+
+import collections
+from collections.abc import Iterator
+
+from bergamotmount.counters import Counters
+from bergamotmount.forwarding.http import HttpRequest
+from bergamotmount.forwarding.httpserver import Origin, Reply
+from bergamotmount.reasons import (
+    DropReason,
+    NoRetryReason,
+    RefusalReason,
+    RetryReason,
+    UnknownReason,
+)
+
+_OK = 200
+_NOT_FOUND = 404
+
+
+class Tallies(Counters):
+    """Counts each decision under its reason."""
+
+    def __init__(self) -> None:
+        """Start all counts at zero."""
+        self.count_by_labels: collections.Counter = collections.Counter()
+
+    def admitted(self, service: str) -> None:
+        """Count a request that went to the backend server."""
+        self.count_by_labels['admitted', 'service', service] += 1
+
+    def refused(self, role: str, reason: RefusalReason) -> None:
+        """Count a refusal."""
+        self.count_by_labels[f'{role}_refused', 'reason', reason] += 1
+
+    def unknown(self, role: str, reason: UnknownReason) -> None:
+        """Count an unknown outcome."""
+        self.count_by_labels[f'{role}_unknown', 'reason', reason] += 1
+
+    def retried(self, reason: RetryReason) -> None:
+        """Count a retry."""
+        self.count_by_labels['retried', 'reason', reason] += 1
+
+    def not_retried(self, reason: NoRetryReason) -> None:
+        """Count a failed call that wasn't tried again."""
+        self.count_by_labels['not_retried', 'reason', reason] += 1
+
+    def dropped(self, reason: DropReason) -> None:
+        """Count a dropped message or connection."""
+        self.count_by_labels['dropped', 'reason', reason] += 1
+
+    def collect(self) -> Iterator:
+        """Return all counters as metric families."""
+        from prometheus_client.metrics_core import CounterMetricFamily
+
+        family_by_name: dict[str, CounterMetricFamily] = {}
+        for (name, label, text), count in self.count_by_labels.items():
+            if name not in family_by_name:
+                family_by_name[name] = CounterMetricFamily(
+                    f'bergamotmount_{name}',
+                    f'Decisions counted as {name}.',
+                    labels=[label],
+                )
+            family_by_name[name].add_metric([text], count)
+        yield from family_by_name.values()
+
+    async def handle(self, request: HttpRequest, _: Origin) -> Reply:
+        """Answer a scrape."""
+        if request.path != '/metrics':
+            return Reply(_NOT_FOUND)
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        headers = ['Content-Type', 'text/plain; version=0.0.4']
+        return Reply(_OK, headers, generate_latest(registry))
--- a/bergamotmount/admission.py
+++ b/bergamotmount/admission.py
@@ -20,6 +20,7 @@
 
 from bergamotmount.clock import Clock
 from bergamotmount.limit import ConcurrencyLimit, ServiceTime
+from bergamotmount.rank import LEVELS
 from bergamotmount.reasons import RefusalReason
 from bergamotmount.threshold import ThresholdController
 
@@ -40,7 +41,7 @@
 
 @dataclasses.dataclass(slots=True, order=True)
 class _Waiter:
-    rank: float
+    order: float
     sequence: int
     deadline_ms: float = dataclasses.field(compare=False)
     admitted: asyncio.Future = dataclasses.field(compare=False)
@@ -82,27 +83,30 @@
         self,
         rank: float,
         deadline_ms: float,
+        is_inner: bool = False,
     ) -> RefusalReason | None:
         """Wait for a place; return ``None`` when admitted, else the reason.
 
-        ``deadline_ms`` is on this admission's clock. Whoever is admitted
-        calls :meth:`leave` once. A task cancelled while it waits leaves the
-        queue by itself.
+        ``deadline_ms`` is on this admission's clock. With ``is_inner`` the
+        request belongs to work that has already begun, and goes before all
+        that has not. Whoever is admitted calls :meth:`leave` once. A task
+        cancelled while it waits leaves the queue by itself.
         """
         self._controller.arrived(rank, self._queue_share())
+        order = rank - LEVELS if is_inner else rank
         limit = self.limit.current()
         if not limit:
             return RefusalReason.NOT_SERVING
         has_room = self.in_flight < limit
-        ahead = 0 if has_room else self._ahead_of(rank)
+        ahead = 0 if has_room else self._ahead_of(order)
         if not self._can_finish(deadline_ms, ahead):
             return self._refused(RefusalReason.DEADLINE_TOO_CLOSE)
         if has_room and not self._waiters:
             self.in_flight += 1
             return None
-        if not self._make_room(rank):
+        if not self._make_room(order):
             return self._refused(RefusalReason.QUEUE_FULL)
-        return await self._wait(rank, deadline_ms)
+        return await self._wait(order, deadline_ms)
 
     def leave(self) -> None:
         """Give the place back and admit the next requests in order."""
@@ -146,11 +150,11 @@
 
     async def _wait(
         self,
-        rank: float,
+        order: float,
         deadline_ms: float,
     ) -> RefusalReason | None:
         admitted = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(rank, next(self._sequence), deadline_ms, admitted)
+        waiter = _Waiter(order, next(self._sequence), deadline_ms, admitted)
         bisect.insort(self._waiters, waiter)
         self.admit_waiting()
         try:
@@ -169,11 +173,11 @@
         elif _was_admitted(waiter.admitted):
             self.leave()
 
-    def _make_room(self, rank: float) -> bool:
+    def _make_room(self, order: float) -> bool:
         if len(self._waiters) < self._queue_bound():
             return True
         last = self._waiters[-1]
-        if last.rank <= rank:
+        if last.order <= order:
             return False
         self._waiters.pop()
         if not last.admitted.done():
@@ -184,11 +188,11 @@
         self._controller.refused()
         return reason
 
-    def _ahead_of(self, rank: float) -> int:
+    def _ahead_of(self, order: float) -> int:
         ahead = bisect.bisect_right(
             self._waiters,
-            rank,
-            key=lambda waiter: waiter.rank,
+            order,
+            key=lambda waiter: waiter.order,
         )
         return ahead + 1
 
--- a/bergamotmount/daemon.py
+++ b/bergamotmount/daemon.py
@@ -4,10 +4,8 @@
 import asyncio
 import gc
 import random
-import secrets
 import signal
 import sys
-import time
 
 import uvloop
 from aiohttp import web
@@ -23,10 +21,12 @@
 from bergamotmount.clock import Clock
 from bergamotmount.distribution import DistributionTimes
 from bergamotmount.heartbeats import HeartbeatTimes
+from bergamotmount.incarnation import new_incarnation
 from bergamotmount.log import part_logger, start_logging
 from bergamotmount.member import Member
 from bergamotmount.node import Node, NodeIdentity, NodeOptions, NodePorts
-from bergamotmount.settings import Settings, SettingsError, read_settings
+from bergamotmount.settings import Settings, read_settings
+from bergamotmount.settingserror import SettingsError
 from bergamotmount.wire.tcp import PeerListener, TcpDialer
 
 #: Exit code for settings that can't be used.
@@ -38,8 +38,6 @@
 #: Allocations before the collector looks at young objects.
 GC_THRESHOLD = 50_000
 
-_INCARNATION_RANDOM_BITS = 12
-
 _node_log = part_logger('node')
 _policy_log = part_logger('policy')
 _members_log = part_logger('members')
@@ -151,13 +149,6 @@
     await Daemon(settings).run()
 
 
-def new_incarnation() -> int:
-    """Return a number that is greater for each later start of a node."""
-    milliseconds = time.time_ns() // 1_000_000
-    random_part = secrets.randbits(_INCARNATION_RANDOM_BITS)
-    return (milliseconds << _INCARNATION_RANDOM_BITS) | random_part
-
-
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='bergamotmountd',
--- /dev/null
+++ b/bergamotmount/forwarding/node.py
@@ -0,0 +1,444 @@
+"""Forwarding node: entry, gateway and all that they share.
+
+It is the counterpart of :class:`bergamotmount.node.Node` for callers that
+speak plain HTTP to a host and path. Membership, links, admission, thresholds
+and routing are the same parts.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+from bergamotmount import events
+from bergamotmount.admission import Admission
+from bergamotmount.clock import Clock
+from bergamotmount.counters import Counters
+from bergamotmount.forwarding.announcements import (
+    Announcement,
+    AnnouncementOrder,
+    Verdict,
+)
+from bergamotmount.forwarding.directory import Directory
+from bergamotmount.forwarding.entry import Entry, EntryParts
+from bergamotmount.forwarding.gateway import (
+    Gateway,
+    GatewayParts,
+    ServerProcess,
+)
+from bergamotmount.forwarding.headers import HeaderNames
+from bergamotmount.forwarding.httpserver import (
+    HttpLimits,
+    HttpServer,
+    Origin,
+    Reply,
+)
+from bergamotmount.forwarding.policysource import Parser, RoutePolicySource
+from bergamotmount.forwarding.retrybudget import RetryBudget
+from bergamotmount.forwarding.runs import RunsInHand
+from bergamotmount.forwarding.store import KeyedStore
+from bergamotmount.heartbeats import Heartbeats, HeartbeatTimes
+from bergamotmount.lifecycle import ServerLifecycle, ServerState
+from bergamotmount.limit import ConcurrencyLimit, ServiceTime
+from bergamotmount.link import LinkPool
+from bergamotmount.log import part_logger
+from bergamotmount.member import Member, MemberState
+from bergamotmount.membership import Members
+from bergamotmount.messages import (
+    Call,
+    Heartbeat,
+    Message,
+    PolicyFetch,
+    PolicyState,
+)
+from bergamotmount.ports import Dialer, Lost
+from bergamotmount.ports import Reply as PeerReply
+from bergamotmount.reasons import DropReason, RefusalReason
+from bergamotmount.routing import Router
+from bergamotmount.serving import PeerServer
+from bergamotmount.threshold import ThresholdController, ThresholdView
+
+#: How often leases, links and slow callers are looked at.
+CHECK_MS = 200
+
+#: How often a stopping node looks whether it is done.
+STOP_CHECK_MS = 50
+
+#: Time that peers get to learn of a departure before the node closes.
+LEAVE_NOTICE_MS = 50
+
+#: Time that the store gets to take the own address back.
+WITHDRAW_MS = 300
+
+_log = part_logger('node')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryTerms:
+    """Bound on repeats of a service: a share of its requests in a window."""
+
+    ratio: float
+    window_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Timing of a planned stop, in milliseconds.
+
+    For ``notice_ms`` callers are still served while they learn that this
+    node stops; ``longest_ms`` bounds the whole.
+    """
+
+    notice_ms: float
+    longest_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardingOptions:
+    """What can be set on a forwarding node."""
+
+    ip: str
+    service: str
+    lease_ms: float
+    retry: RetryTerms
+    stop: StopTimes
+    names: HeaderNames = HeaderNames()
+    heartbeat: HeartbeatTimes = HeartbeatTimes()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardingPorts:
+    """The outside of a forwarding node."""
+
+    clock: Clock
+    dialer: Dialer
+    store: KeyedStore
+    parser: Parser
+    counters: Counters
+    rng: random.Random
+
+
+class ForwardingNode:
+    """Everything that runs beside one backend server."""
+
+    def __init__(
+        self,
+        own: Member,
+        options: ForwardingOptions,
+        ports: ForwardingPorts,
+    ) -> None:
+        """Put the parts together; nothing runs before :meth:`start`."""
+        self.ports = ports
+        self.options = options
+        clock, rng = ports.clock, ports.rng
+        self.members = Members(clock, own)
+        self.router = Router(clock, self.members, rng)
+        self.view = ThresholdView(clock)
+        self.runs = RunsInHand(clock, self.view)
+        self.links = LinkPool(
+            clock,
+            ports.dialer,
+            ports.counters,
+            self._receive_on_link,
+        )
+        self.heartbeats = Heartbeats(
+            clock,
+            self.members,
+            self.links,
+            (),
+            rng,
+            options.heartbeat,
+            self._prepare,
+        )
+        self.policy = RoutePolicySource(
+            clock,
+            ports.store,
+            ports.parser,
+            rng,
+            self._on_policy,
+        )
+        self.directory = Directory(clock, ports.store, self.members, rng)
+        self.announced = AnnouncementOrder()
+        self.lifecycle = ServerLifecycle(clock, self._on_server_state)
+        self._build_roles()
+        self.is_stopping = False
+        self._warm_until_ms: float = 0
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.policy.table is not None and not self.is_stopping
+
+    def start(self) -> None:
+        """Start the tasks of the node in the running event loop."""
+        events.member_changed.connect(
+            self._on_member_changed,
+            sender=self.heartbeats,
+        )
+        self._tasks = [
+            asyncio.create_task(self.heartbeats.run()),
+            asyncio.create_task(self.policy.run()),
+            asyncio.create_task(self.directory.run(self.heartbeats.add_seeds)),
+            asyncio.create_task(self._check_regularly()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop gracefully: requests in flight get their answers."""
+        clock = self.ports.clock
+        stop = self.options.stop
+        started_ms = clock.now_ms()
+        self.is_stopping = True
+        self.callers.close_gently()
+        self.lifecycle.drain()
+        await clock.sleep(stop.notice_ms)
+        self.callers.stop_listening()
+        self.callers.close_idle()
+        while self._is_busy():
+            if clock.now_ms() - started_ms > stop.longest_ms:
+                break
+            await clock.sleep(STOP_CHECK_MS)
+        self.heartbeats.spread(self.members.announce(MemberState.LEFT))
+        self.heartbeats.send_last_news()
+        await clock.sleep(LEAVE_NOTICE_MS)
+        self.close()
+
+    def close(self) -> None:
+        """Stop at once, without a word to anybody."""
+        for task in self._tasks:
+            task.cancel()
+        self.callers.close()
+        self.links.close()
+
+    def announce(self, news: Announcement) -> Verdict:
+        """Take an announcement of the backend server beside this node."""
+        verdict = self.announced.take(news)
+        match verdict:
+            case Verdict.STALE:
+                return verdict
+            case Verdict.DRAINING:
+                self.lifecycle.drain()
+            case Verdict.STARTED:
+                self._use(news)
+            case Verdict.RENEWED:
+                self._renew(news)
+        if verdict is not Verdict.RENEWED:
+            _log.info(
+                'Server {} of {}: {}, born {}, sequence {}.',
+                news.instance,
+                news.service,
+                verdict,
+                news.born_ms,
+                news.sequence,
+            )
+        return verdict
+
+    def depart(self, instance: str) -> None:
+        """Take the backend server's word that it leaves."""
+        if self.announced.depart(instance):
+            _log.info('Server {} leaves.', instance)
+            self.lifecycle.drain()
+
+    def receive(self, message: Message) -> list[Message]:
+        """Take a message that is no call and return the messages to answer."""
+        match message:
+            case Heartbeat():
+                return self._receive_heartbeat(message)
+            case PolicyFetch():
+                return self.policy.serve(message)
+            case PolicyState():
+                self.policy.take_state(message)
+        return []
+
+    async def call(self, server: Member, call: Call) -> PeerReply:
+        """Carry a call to a server's node, directly if that is this node."""
+        if server.node != self.members.own_node:
+            return await self.links.call(server, call)
+        try:
+            async with self.ports.clock.timeout(call.remaining_ms):
+                return await self.gateway.handle(call)
+        except TimeoutError:
+            return Lost(by_deadline=True)
+
+    async def serve_caller(self, request, origin: Origin) -> Reply:
+        """Answer a request of a caller on this host."""
+        return await self.entry.handle(request, origin)
+
+    def own_service(self) -> str:
+        """Return the service whose server runs on this host."""
+        process = self.gateway.process
+        return self.options.service if process is None else process.service
+
+    def _build_roles(self) -> None:
+        clock, rng = self.ports.clock, self.ports.rng
+        counters = self.ports.counters
+        service_time = ServiceTime(clock)
+        limit = ConcurrencyLimit(clock)
+        self.controller = ThresholdController(
+            clock,
+            limit,
+            service_time,
+            self.heartbeats.push,
+        )
+        self.admission = Admission(
+            clock,
+            limit,
+            service_time,
+            self.controller,
+            rng,
+        )
+        self.gateway = Gateway(
+            clock,
+            GatewayParts(
+                self.lifecycle,
+                self.admission,
+                self.controller,
+                self.runs,
+            ),
+            self.options.names,
+            counters,
+        )
+        self.entry = Entry(
+            clock,
+            EntryParts(
+                self.router,
+                self.runs,
+                self.view,
+                self._table,
+                self.call,
+                self.own_service,
+                self._new_budget,
+            ),
+            self.options.names,
+            counters,
+            rng,
+            self.options.ip,
+        )
+        self.callers = HttpServer(
+            clock,
+            self.serve_caller,
+            HttpLimits(),
+            self._on_malformed,
+        )
+        self.peer_server = PeerServer(
+            self.gateway.handle,
+            self.receive,
+            counters,
+        )
+
+    def _on_malformed(self, reason: str) -> None:
+        self.ports.counters.dropped(DropReason.MALFORMED_REQUEST)
+        _log.info('Malformed request: {}.', reason)
+
+    def _table(self):
+        return self.policy.table
+
+    def _new_budget(self) -> RetryBudget:
+        retry = self.options.retry
+        return RetryBudget(self.ports.clock, retry.ratio, retry.window_ms)
+
+    def _on_policy(self) -> None:
+        policy = self.policy.table.policy
+        self.entry.splits.keep_only(policy.routes)
+        limits = policy.limits
+        self.callers.limits = HttpLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+        self.heartbeats.push()
+
+    def _use(self, news: Announcement) -> None:
+        self.gateway.use(
+            ServerProcess(news.instance, news.service, news.address),
+        )
+        self.admission.limit.announce(news.slots, news.cold_ms)
+        self._warm_until_ms = self.ports.clock.now_ms() + news.cold_ms
+        self._renew_lease()
+        member = self.members.announce(
+            MemberState.WARMING,
+            news.service,
+            news.slots,
+        )
+        self.heartbeats.spread(member)
+        self.lifecycle.announce()
+        self.admission.admit_waiting()
+
+    def _renew(self, news: Announcement) -> None:
+        if self.lifecycle.state is ServerState.ABSENT:
+            self._use(news)
+        self._renew_lease()
+
+    def _renew_lease(self) -> None:
+        self.lifecycle.renew(self.options.lease_ms)
+
+    def _receive_heartbeat(self, heartbeat: Heartbeat) -> list[Message]:
+        replies: list[Message] = list(self.heartbeats.take(heartbeat))
+        if heartbeat.members:
+            sender = heartbeat.members[0]
+            if sender.service:
+                self.router.reported(sender.node, heartbeat.load_permille)
+            for route, report in heartbeat.thresholds.items():
+                self.view.hear_indirect(route, report)
+        replies.extend(self.policy.behind(heartbeat.policy_offset))
+        return replies
+
+    def _receive_on_link(self, address: str, message: Message) -> None:
+        for reply in self.receive(message):
+            self.links.send(address, reply)
+
+    def _prepare(self, heartbeat: Heartbeat) -> None:
+        heartbeat.policy_offset = self.policy.version
+        heartbeat.threshold = self.controller.current()
+        heartbeat.thresholds = self.view.reports()
+        heartbeat.load_permille = self.admission.load_permille
+
+    def _on_server_state(self, state: ServerState) -> None:
+        _log.info('Server state: {}.', state)
+        match state:
+            case ServerState.SERVING:
+                self._announce(MemberState.SERVING)
+            case ServerState.DRAINING:
+                self.admission.refuse_waiting(RefusalReason.DRAINING)
+                self._announce(MemberState.DRAINING)
+            case ServerState.ABSENT:
+                self.admission.refuse_waiting(RefusalReason.NOT_SERVING)
+                self._announce(MemberState.DRAINING)
+
+    def _announce(self, state: MemberState) -> None:
+        slots = self.admission.limit.slots
+        self.heartbeats.spread(self.members.announce(state, slots=slots))
+
+    def _on_member_changed(self, _sender: object, member: Member) -> None:
+        _log.info(
+            'Member {} is {}, incarnation {}, version {}.',
+            member.node,
+            member.state.name.lower(),
+            member.incarnation,
+            member.version,
+        )
+        if member.state is MemberState.LEFT:
+            self.router.forget(member.node)
+
+    async def _check_regularly(self) -> None:
+        while True:
+            await self.ports.clock.sleep(CHECK_MS)
+            self.lifecycle.check_lease()
+            self._end_warming()
+            self.admission.admit_waiting()
+            self.links.close_idle()
+            self.gateway.close_idle()
+            self.callers.check_timeouts()
+
+    def _end_warming(self) -> None:
+        if self.lifecycle.state is not ServerState.WARMING:
+            return
+        if self.ports.clock.now_ms() >= self._warm_until_ms:
+            self.lifecycle.warmed()
+
+    def _is_busy(self) -> bool:
+        return bool(
+            self.callers.requests_open
+            or self.peer_server.calls_running
+            or self.admission.in_flight
+        )
--- /dev/null
+++ b/bergamotmount/incarnation.py
@@ -0,0 +1,13 @@
+"""Incarnations: numbers that grow with each start of a node."""
+
+import secrets
+import time
+
+_RANDOM_BITS = 12
+_NS_PER_MS = 1_000_000
+
+
+def new_incarnation() -> int:
+    """Return a number that is greater for each later start of a node."""
+    milliseconds = time.time_ns() // _NS_PER_MS
+    return (milliseconds << _RANDOM_BITS) | secrets.randbits(_RANDOM_BITS)
--- a/bergamotmount/log.py
+++ b/bergamotmount/log.py
@@ -11,7 +11,7 @@
 
 import json
 import sys
-from typing import Literal
+from typing import Literal, TextIO
 
 import logbook
 
@@ -48,9 +48,10 @@
 def start_logging(
     level: str,
     line_format: Literal['text', 'json'],
+    stream: TextIO = sys.stderr,
 ) -> logbook.Handler:
-    """Send the log of the whole process to standard error."""
-    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+    """Send the log of the whole process to a stream."""
+    handler = logbook.StreamHandler(stream, level=level.upper())
     if line_format == 'json':
         handler.formatter = JsonFormatter()
     else:
--- a/bergamotmount/messages.py
+++ b/bergamotmount/messages.py
@@ -20,7 +20,8 @@
     ``attempt`` is unique on the sender and matches the answer. ``rank``
     orders requests under overload, 0 first. ``remaining_ms`` is the time left
     until the deadline at the moment of sending, ``tokens`` the retry tokens
-    lent to everything below this call.
+    lent to everything below this call. ``target`` is path and query of a
+    forwarded HTTP request, empty for a call of an operation.
     """
 
     attempt: int
@@ -36,6 +37,7 @@
     ticket: str = ''
     idempotent: bool = True
     depth: int = 0
+    target: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/bergamotmount/platform/daemon.py
@@ -0,0 +1,196 @@
+"""The process on the platform: settings, listeners, signals."""
+
+import argparse
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+
+import uvloop
+
+from bergamotmount.adapters.tallies import Tallies
+from bergamotmount.clock import Clock
+from bergamotmount.forwarding.httpserver import Handler, HttpLimits, HttpServer
+from bergamotmount.forwarding.node import (
+    ForwardingNode,
+    ForwardingOptions,
+    ForwardingPorts,
+    RetryTerms,
+    StopTimes,
+)
+from bergamotmount.incarnation import new_incarnation
+from bergamotmount.log import part_logger, start_logging
+from bergamotmount.member import Member
+from bergamotmount.platform.control import ControlServer
+from bergamotmount.platform.manifest import parse_manifest
+from bergamotmount.platform.names import HEADERS
+from bergamotmount.platform.settings import (
+    PlatformSettings,
+    read_platform_settings,
+)
+from bergamotmount.platform.store import PlatformStore
+from bergamotmount.settingserror import SettingsError
+from bergamotmount.wire.tcp import PeerListener, TcpDialer
+
+#: Variable that holds the path of the settings file.
+CONFIG_VARIABLE = 'BERGAMOTMOUNT_CONFIG'
+
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+
+#: Allocations before the collector looks at young objects.
+GC_THRESHOLD = 50_000
+
+#: Announcements that a server may miss before it counts as gone.
+MISSED_BEATS = 3
+
+#: Depth of the graph that the retry ratio is shared out over.
+RETRY_DEPTH = 5
+
+#: Time for which a stopping node still serves callers.
+STOP_NOTICE_MS = 2500
+
+#: Time kept free before the process is killed.
+STOP_SPARE_MS = 700
+
+#: How often the settings file is looked at for changes.
+SETTINGS_CHECK_MS = 2000
+
+_log = part_logger('daemon')
+
+
+def main() -> None:
+    """Run the node until it is told to stop."""
+    arguments = _parser().parse_args()
+    try:
+        settings = read_platform_settings(arguments.config)
+    except SettingsError as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(EXIT_SETTINGS)
+    start_logging('info', 'json', sys.stdout)
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    try:
+        uvloop.run(PlatformDaemon(settings, arguments.config).run())
+    except OSError as error:
+        _log.error('Can not listen: {}.', error)
+        sys.exit(EXIT_ADDRESS)
+
+
+class PlatformDaemon:
+    """One process with its node and listeners."""
+
+    def __init__(self, settings: PlatformSettings, path: str) -> None:
+        """Build a node with the settings read from ``path``."""
+        self._settings = settings
+        self._path = path
+        clock = Clock()
+        self._clock = clock
+        self._tallies = Tallies()
+        rng = random.Random()
+        ports = ForwardingPorts(
+            clock,
+            TcpDialer(self._tallies),
+            PlatformStore(clock, settings.store_address),
+            parse_manifest,
+            self._tallies,
+            rng,
+        )
+        self.node = ForwardingNode(
+            _own_member(settings),
+            _options(settings),
+            ports,
+        )
+        control = ControlServer(self.node, settings.server_address)
+        self._ready = _http_server(clock, control.handle_ready)
+        self._control = _http_server(clock, control.handle_control)
+        self._metrics = _http_server(clock, self._tallies.handle)
+        self._peers = PeerListener(self.node.peer_server.serve, self._tallies)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_log_exception)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._start()
+        await stopping.wait()
+        _log.info('Node {} stops.', self._settings.node)
+        await self.node.stop()
+        await self._peers.close()
+        _log.info('Node {} has stopped.', self._settings.node)
+
+    async def _start(self) -> None:
+        settings = self._settings
+        await self._peers.start(settings.peer_address)
+        await self._control.start(settings.control_address)
+        await self._ready.start(settings.ready_address)
+        await self._metrics.start(settings.metrics_address)
+        await self.node.callers.start(settings.caller_address)
+        self.node.start()
+        _log.info('Node {} is up.', settings.node)
+
+    def _reload(self) -> None:
+        try:
+            settings = read_platform_settings(self._path)
+        except SettingsError as error:
+            _log.warning('Settings not taken over: {}.', error)
+            return
+        is_same = settings == self._settings
+        self._settings = settings
+        _log.info('Settings read again, changed: {}.', not is_same)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='python -m bergamotmount.platform',
+        description='Run the node beside one backend server.',
+    )
+    parser.add_argument(
+        '--config',
+        default=os.environ.get(CONFIG_VARIABLE, ''),
+        metavar='FILE',
+        help=f'settings; by default the file that {CONFIG_VARIABLE} names',
+    )
+    return parser
+
+
+def _own_member(settings: PlatformSettings) -> Member:
+    return Member(
+        settings.node,
+        settings.peer_address,
+        settings.region,
+        settings.failure_domain,
+        new_incarnation(),
+        admin=settings.metrics_address,
+    )
+
+
+def _options(settings: PlatformSettings) -> ForwardingOptions:
+    return ForwardingOptions(
+        ip=settings.ip,
+        service=settings.service,
+        lease_ms=settings.beat_ms * MISSED_BEATS,
+        retry=RetryTerms(
+            settings.retry_ratio / RETRY_DEPTH,
+            settings.retry_window_ms,
+        ),
+        stop=StopTimes(STOP_NOTICE_MS, settings.stop_ms - STOP_SPARE_MS),
+        names=HEADERS,
+    )
+
+
+def _http_server(clock: Clock, handler: Handler) -> HttpServer:
+    return HttpServer(clock, handler, HttpLimits(), _log_malformed)
+
+
+def _log_malformed(reason: str) -> None:
+    _log.warning('Malformed request: {}.', reason)
+
+
+def _log_exception(_loop: object, context: dict[str, object]) -> None:
+    _log.error('{}: {!r}.', context['message'], context.get('exception'))
--- /dev/null
+++ b/bergamotmount/platform/manifest.py
@@ -0,0 +1,104 @@
+"""The operators' record: decoded into the product's route policy."""
+
+import msgspec
+
+from bergamotmount.forwarding.policysource import PolicyError
+from bergamotmount.forwarding.routetable import (
+    CallerLimits,
+    Route,
+    RoutePolicy,
+    ServicePolicy,
+    SplitPart,
+)
+
+_MS_PER_SECOND = 1000
+_HEX = 16
+_IDEMPOTENT = 'safe'
+
+
+class _WirePart(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _WireRoute(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout_s: float
+    target_latency_s: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    service: str = ''
+    traffic_split: list[_WirePart] = []
+
+
+class _WireService(msgspec.Struct):
+    name: str
+    health_path: str = '/'
+    max_connections: int = 0
+
+
+class _WireLimits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class _WireManifest(msgspec.Struct):
+    version: str
+    routes: list[_WireRoute]
+    services: list[_WireService]
+    limits: _WireLimits
+
+
+_decoder = msgspec.json.Decoder(_WireManifest)
+
+
+def parse_manifest(record: bytes) -> RoutePolicy:
+    """Return the policy in a record; raise :class:`PolicyError`."""
+    try:
+        wire = _decoder.decode(record)
+        version = int(wire.version, _HEX)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise PolicyError(str(error)) from error
+    return RoutePolicy(
+        version,
+        tuple(_route_of(each) for each in wire.routes),
+        {
+            each.name: ServicePolicy(
+                each.name,
+                each.health_path,
+                each.max_connections,
+            )
+            for each in wire.services
+        },
+        CallerLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.header_timeout_s * _MS_PER_SECOND,
+            wire.limits.idle_timeout_s * _MS_PER_SECOND,
+        ),
+    )
+
+
+def _route_of(wire: _WireRoute) -> Route:
+    parts = tuple(
+        SplitPart(part.service, part.weight) for part in wire.traffic_split
+    )
+    parts = parts or (SplitPart(wire.service, 1),)
+    if not all(part.service for part in parts):
+        raise PolicyError(f'route {wire.name} names no service')
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        path_prefix=wire.path_prefix,
+        is_idempotent=wire.route_type == _IDEMPOTENT,
+        timeout_ms=wire.timeout_s * _MS_PER_SECOND,
+        target_ms=wire.target_latency_s * _MS_PER_SECOND,
+        level=wire.priority,
+        max_servers=wire.max_attempts,
+        parts=parts,
+    )
--- /dev/null
+++ b/bergamotmount/platform/names.py
@@ -0,0 +1,27 @@
+"""Headers and paths as the platform spells them."""
+
+from bergamotmount.forwarding.headers import HeaderNames
+
+HEADERS = HeaderNames(
+    request_id='X-Attempt-Id',
+    deadline='X-Deadline-Ms',
+    signature='X-Response-Stamp',
+    not_run='X-Not-Executed',
+    target='X-Target-Instance',
+    instance='X-Instance-Id',
+    caller='X-Caller-Service',
+    retry_after='Retry-After',
+)
+
+READY_PATH = '/bergamotmount/readyz'
+INSTANCES_PATH = '/bergamotmount/instances/'
+LOG_APPEND = '/bergamotmount/log-append'
+LOG_READ = '/bergamotmount/log-read'
+LOG_NEWEST = '/bergamotmount/log-newest'
+
+#: Topic of the operators' records, and the key of the policy in it.
+OPERATOR_TOPIC = 'keyed.op'
+POLICY_KEY = 'config'
+
+#: Topic in which the nodes leave their addresses.
+MEMBERS_TOPIC = 'keyed.members'
--- /dev/null
+++ b/bergamotmount/platform/settings.py
@@ -0,0 +1,114 @@
+"""Settings file of the platform: lines ``table.field=value``.
+
+Unknown fields are ignored. Every fault of a known one is reported.
+"""
+
+import dataclasses
+
+from bergamotmount.settingserror import SettingsError
+
+_MS_PER_SECOND = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What a node needs to know of its host; times in milliseconds.
+
+    ``peer_address`` is where other nodes reach this one, ``caller_address``
+    where callers on this host and the backend server send requests,
+    ``control_address`` where the backend server announces itself.
+    ``beat_ms`` is the time between two announcements of a server,
+    ``stop_ms`` the time from SIGTERM to SIGKILL.
+    """
+
+    node: str
+    ip: str
+    region: str
+    failure_domain: str
+    service: str
+    server_address: str
+    caller_address: str
+    ready_address: str
+    control_address: str
+    peer_address: str
+    metrics_address: str
+    store_address: str
+    beat_ms: float
+    stop_ms: float
+    retry_ratio: float
+    retry_window_ms: float
+
+
+def read_platform_settings(path: str) -> PlatformSettings:
+    """Read a settings file; raise :class:`SettingsError` for its faults."""
+    try:
+        with open(path, encoding='utf-8') as source:
+            lines = source.read().splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f'{path}: {error}']) from error
+    return parse_platform_settings(lines)
+
+
+def parse_platform_settings(lines: list[str]) -> PlatformSettings:
+    """Return the settings in these lines."""
+    fields = _Fields(lines)
+    ip = fields.text('local_node.ip')
+    first_port = fields.ports('network.port_range')
+    settings = PlatformSettings(
+        node=fields.text('local_node.node_name'),
+        ip=ip,
+        region=fields.text('local_node.region'),
+        failure_domain=fields.text('local_node.zone'),
+        service=fields.text('local_node.service'),
+        server_address=fields.text('local_node.app_addr'),
+        caller_address=fields.text('network.listen_addrs.outbound'),
+        ready_address=fields.text('network.listen_addrs.ready'),
+        control_address=fields.text('network.listen_addrs.control'),
+        peer_address=f'{ip}:{first_port}',
+        metrics_address=f'{ip}:{first_port + 1}',
+        store_address=fields.text('platform.platform.address'),
+        beat_ms=fields.seconds('platform.heartbeat_s'),
+        stop_ms=fields.seconds('terms.bounds.grace_s'),
+        retry_ratio=fields.number('terms.bounds.retry_budget_ratio'),
+        retry_window_ms=fields.seconds('terms.bounds.budget_window_s'),
+    )
+    if fields.problems:
+        raise SettingsError(fields.problems)
+    return settings
+
+
+class _Fields:
+    """Fields by name, and the faults found while reading them."""
+
+    def __init__(self, lines: list[str]) -> None:
+        self.problems: list[str] = []
+        self._text_by_name: dict[str, str] = {}
+        for line in lines:
+            name, separator, text = line.partition('=')
+            if separator:
+                self._text_by_name[name.strip()] = text.strip()
+
+    def text(self, name: str) -> str:
+        text = self._text_by_name.get(name, '')
+        if not text:
+            self.problems.append(f'{name}: not set')
+        return text
+
+    def number(self, name: str) -> float:
+        text = self.text(name)
+        try:
+            return float(text)
+        except ValueError:
+            if text:
+                self.problems.append(f'{name}: {text!r} is no number')
+            return 0
+
+    def seconds(self, name: str) -> float:
+        return self.number(name) * _MS_PER_SECOND
+
+    def ports(self, name: str) -> int:
+        first, _, last = self.text(name).partition(',')
+        if first.isdecimal() and last.isdecimal() and int(first) < int(last):
+            return int(first)
+        self.problems.append(f'{name}: two ports wanted, as 7620,7635')
+        return 0
--- a/bergamotmount/reasons.py
+++ b/bergamotmount/reasons.py
@@ -78,6 +78,7 @@
     FRAME_KIND = 'frame_kind'
     FRAME_MALFORMED = 'frame_malformed'
     SILENT_CONNECTION = 'silent_connection'
+    MALFORMED_REQUEST = 'malformed_request'
 
 
 #: Refusals that another backend server of the service may not share.
--- a/bergamotmount/settings.py
+++ b/bergamotmount/settings.py
@@ -11,6 +11,8 @@
 
 import pydantic
 
+from bergamotmount.settingserror import SettingsError
+
 #: Defaults of all options that have one; the others must be set.
 DEFAULTS = {
     'node': {'region': 'default'},
@@ -46,15 +48,6 @@
 _MAX_KEY_LENGTH = 64
 
 
-class SettingsError(Exception):
-    """Settings that can't be used; ``problems`` has a line for each fault."""
-
-    def __init__(self, problems: list[str]) -> None:
-        """Keep all problems of the file."""
-        super().__init__('\n'.join(problems))
-        self.problems = problems
-
-
 def _check_address(text: str) -> str:
     host, separator, port = text.rpartition(':')
     try:
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -91,6 +91,7 @@
         call.ticket,
         call.idempotent,
         call.depth,
+        call.target,
     )
 
 
@@ -109,6 +110,7 @@
         wire.ticket or '',
         _present(wire.idempotent),
         wire.depth or 0,
+        wire.target or '',
     )
 
 
--- a/bergamotmount/wire/gen/ttypes.py
+++ b/bergamotmount/wire/gen/ttypes.py
@@ -32,6 +32,7 @@
      - ticket
      - idempotent
      - depth
+     - target
 
     """
 
@@ -49,10 +50,11 @@
         'ticket',
         'idempotent',
         'depth',
+        'target',
     )
 
 
-    def __init__(self, attempt=None, root=None, rank=None, remaining_ms=None, tokens=None, service_name=None, operation=None, method=None, headers=None, body=None, ticket=None, idempotent=None, depth=None,):
+    def __init__(self, attempt=None, root=None, rank=None, remaining_ms=None, tokens=None, service_name=None, operation=None, method=None, headers=None, body=None, ticket=None, idempotent=None, depth=None, target=None,):
         self.attempt = attempt
         self.root = root
         self.rank = rank
@@ -66,6 +68,7 @@
         self.ticket = ticket
         self.idempotent = idempotent
         self.depth = depth
+        self.target = target
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -146,6 +149,11 @@
                     self.depth = iprot.readI16()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -211,6 +219,10 @@
             oprot.writeFieldBegin('depth', TType.I16, 13)
             oprot.writeI16(self.depth)
             oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 14)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1313,6 +1325,7 @@
     (11, TType.STRING, 'ticket', 'UTF8', None, ),  # 11
     (12, TType.BOOL, 'idempotent', None, None, ),  # 12
     (13, TType.I16, 'depth', None, None, ),  # 13
+    (14, TType.STRING, 'target', 'UTF8', None, ),  # 14
 )
 all_structs.append(Threshold)
 Threshold.thrift_spec = (
--- a/bergamotmount/wire/messages.thrift
+++ b/bergamotmount/wire/messages.thrift
@@ -20,6 +20,7 @@
   11: string ticket
   12: bool idempotent
   13: i16 depth
+  14: string target
 }
 
 struct Threshold {
