--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -96,20 +96,18 @@
         names: HeaderNames,
         counters: Counters,
         rng: random.Random,
-        own_ip: str,
     ) -> None:
-        """Requests that come from ``own_ip`` are the server's own calls."""
+        """Serve no request before there is a route table."""
         self.splits = SplitPicker(rng)
         self._clock = clock
         self._parts = parts
         self._names = names
         self._counters = counters
         self._rng = rng
-        self._own_ip = own_ip
         self._attempts = itertools.count(1)
         self._budget_by_service: dict[str, RetryBudget] = {}
 
-    async def handle(self, request: HttpRequest, origin: Origin) -> Reply:
+    async def handle(self, request: HttpRequest, _: Origin) -> Reply:
         """Return the reply to a request."""
         table = self._parts.table()
         if table is None:
@@ -120,7 +118,7 @@
         )
         if route is None:
             return Reply(_NOT_FOUND)
-        work = self._work_of(request, route, origin)
+        work = self._work_of(request, route)
         if work is None:
             return Reply(_BAD_REQUEST)
         refusal = self._check(work)
@@ -132,17 +130,17 @@
         self,
         request: HttpRequest,
         route: Route,
-        origin: Origin,
     ) -> Work | None:
         now_ms = self._clock.now_ms()
         single = self._single_headers(request)
         if single is None:
             return None
         request_id, granted_ms = single
-        is_inner = origin.ip == self._own_ip
-        rank = rank_of(route.level, request_id)
-        if is_inner:
-            rank = self._rank_of_inner(route, now_ms + granted_ms, rank)
+        parent = self._parts.runs.take_call(route.name, now_ms + granted_ms)
+        if parent is None:
+            rank = rank_of(route.level, request_id)
+        else:
+            rank = parent.rank
         return Work(
             request,
             request_id,
@@ -150,7 +148,7 @@
             self.splits.pick(route),
             now_ms + min(granted_ms, route.timeout_ms),
             rank,
-            is_inner,
+            parent is not None,
         )
 
     def _single_headers(
@@ -175,18 +173,6 @@
                 return None
         return request_id, granted_ms
 
-    def _rank_of_inner(
-        self,
-        route: Route,
-        expires_ms: float,
-        fallback: float,
-    ) -> float:
-        parent = self._parts.runs.parent_of(expires_ms)
-        if parent is None:
-            return fallback
-        self._parts.runs.called(parent, route.name)
-        return parent.rank
-
     def _check(self, work: Work) -> NotRun | None:
         if work.deadline_ms - self._clock.now_ms() < LEAST_RETRY_MS:
             return NotRun(RefusalReason.DEADLINE_TOO_CLOSE)
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -29,8 +29,6 @@
 from bergamotmount.forwarding.httpserver import (
     HttpLimits,
     HttpServer,
-    Origin,
-    Reply,
 )
 from bergamotmount.forwarding.policysource import Parser, RoutePolicySource
 from bergamotmount.forwarding.retrybudget import RetryBudget
@@ -96,7 +94,6 @@
 class ForwardingOptions:
     """What can be set on a forwarding node."""
 
-    ip: str
     service: str
     lease_ms: float
     retry: RetryTerms
@@ -133,7 +130,7 @@
         self.members = Members(clock, own)
         self.router = Router(clock, self.members, rng)
         self.view = ThresholdView(clock)
-        self.runs = RunsInHand(clock, self.view)
+        self.runs = RunsInHand(clock, self.view, rng)
         self.links = LinkPool(
             clock,
             ports.dialer,
@@ -259,10 +256,6 @@
         except TimeoutError:
             return Lost(by_deadline=True)
 
-    async def serve_caller(self, request, origin: Origin) -> Reply:
-        """Answer a request of a caller on this host."""
-        return await self.entry.handle(request, origin)
-
     def own_service(self) -> str:
         """Return the service whose server runs on this host."""
         process = self.gateway.process
@@ -311,11 +304,10 @@
             self.options.names,
             counters,
             rng,
-            self.options.ip,
         )
         self.callers = HttpServer(
             clock,
-            self.serve_caller,
+            self.entry.handle,
             HttpLimits(),
             self._on_malformed,
         )
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -172,7 +172,6 @@
 
 def _options(settings: PlatformSettings) -> ForwardingOptions:
     return ForwardingOptions(
-        ip=settings.ip,
         service=settings.service,
         lease_ms=settings.beat_ms * MISSED_BEATS,
         retry=RetryTerms(
