Keep a few slots of each server free

Cause: some servers slow down when they are nearly full, and a full one then finishes less than one with a slot to spare. The limit now stays 6 in 100 under the announced slots (none of 8 slots or fewer). Where no server slows down it costs 6 in 100 at most.

--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -63,7 +63,7 @@
 CHECK_MS = 200
 
 #: Share of a server's slots kept free: some slow down when nearly full.
-SLOT_HEADROOM = 0
+SLOT_HEADROOM = 0.06
 
 #: How often a stopping node looks whether it is done.
 STOP_CHECK_MS = 50
