Set thresholds by load and settled rates; news of closed routes on answers

Cause: an emulation of the bottleneck (entry, chains of eight calls, four servers of unequal speed) showed the threshold swinging between 1.8 and 3.7 at a steady 310 requests/s: arrivals at the server lag the entry by half a second and more, a raised threshold forgot the demand it could not see yet, and a call refused by one server counted as an arrival at each of four. Now: first tries count only; rates above the lowest threshold of the last 1.5 s are kept; the rate let in is corrected slowly towards a target load; a busy server lets in at most what it finishes; closed routes travel on all answers; frames between failure domains are compressed; placement weighs crowding; decisions of refusal are logged.

--- a/bergamotmount/admission.py
+++ b/bergamotmount/admission.py
@@ -27,6 +27,9 @@
 #: Queue places for each slot of the limit.
 QUEUE_PER_SLOT = 1
 
+#: The same for calls of requests that have already begun.
+INNER_QUEUE_PER_SLOT = 3
+
 #: Least number of queue places.
 MIN_QUEUE = 8
 
@@ -76,23 +79,25 @@
     @property
     def load_permille(self) -> int:
         """Requests in flight and waiting, in thousandths of the limit."""
-        work = self.in_flight + self.queued
-        return _PERMILLE * work // max(self.limit.current(), 1)
+        return int(_PERMILLE * self._load())
 
     async def enter(
         self,
         rank: float,
         deadline_ms: float,
         is_inner: bool = False,
+        is_repeat: bool = False,
     ) -> RefusalReason | None:
         """Wait for a place; return ``None`` when admitted, else the reason.
 
         ``deadline_ms`` is on this admission's clock. With ``is_inner`` the
         request belongs to work that has already begun, and goes before all
-        that has not. Whoever is admitted calls :meth:`leave` once. A task
-        cancelled while it waits leaves the queue by itself.
+        that has not. With ``is_repeat`` another server refused it before, so
+        it is no new demand. Whoever is admitted calls :meth:`leave` once. A
+        task cancelled while it waits leaves the queue by itself.
         """
-        self._controller.arrived(rank, self._queue_share())
+        if not is_repeat:
+            self._controller.arrived(rank, self._load())
         order = rank - LEVELS if is_inner else rank
         limit = self.limit.current()
         if not limit:
@@ -100,18 +105,18 @@
         has_room = self.in_flight < limit
         ahead = 0 if has_room else self._ahead_of(order)
         if not self._can_finish(deadline_ms, ahead):
-            return self._refused(RefusalReason.DEADLINE_TOO_CLOSE)
+            return RefusalReason.DEADLINE_TOO_CLOSE
         if has_room and not self._waiters:
             self.in_flight += 1
             return None
         if not self._make_room(order):
-            return self._refused(RefusalReason.QUEUE_FULL)
+            return RefusalReason.QUEUE_FULL
         return await self._wait(order, deadline_ms)
 
     def leave(self) -> None:
         """Give the place back and admit the next requests in order."""
         self.in_flight -= 1
-        self._controller.completed(self._queue_share())
+        self._controller.completed(self._load())
         self.admit_waiting()
 
     def admit_waiting(self) -> None:
@@ -124,8 +129,7 @@
                 self.in_flight += 1
                 waiter.admitted.set_result(None)
             else:
-                reason = self._refused(RefusalReason.DEADLINE_TOO_CLOSE)
-                waiter.admitted.set_result(reason)
+                waiter.admitted.set_result(RefusalReason.DEADLINE_TOO_CLOSE)
 
     def refuse_waiting(self, reason: RefusalReason) -> None:
         """Refuse everything that waits, for instance when draining."""
@@ -158,15 +162,20 @@
         bisect.insort(self._waiters, waiter)
         self.admit_waiting()
         try:
-            async with self._clock.timeout(deadline_ms - self._clock.now_ms()):
+            async with self._clock.timeout(self._patience_ms(deadline_ms)):
                 return await admitted
         except TimeoutError:
             self._forget(waiter)
-            return self._refused(RefusalReason.DEADLINE_TOO_CLOSE)
+            return RefusalReason.DEADLINE_TOO_CLOSE
         except asyncio.CancelledError:
             self._forget(waiter)
             raise
 
+    def _patience_ms(self, deadline_ms: float) -> float:
+        # Whoever waits longer gets its answer too late.
+        least_ms = self.service_time.current_ms()
+        return deadline_ms - self._clock.now_ms() - least_ms
+
     def _forget(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
@@ -174,20 +183,16 @@
             self.leave()
 
     def _make_room(self, order: float) -> bool:
-        if len(self._waiters) < self._queue_bound():
+        if len(self._waiters) < self._queue_bound(order):
             return True
         last = self._waiters[-1]
         if last.order <= order:
             return False
         self._waiters.pop()
         if not last.admitted.done():
-            last.admitted.set_result(self._refused(RefusalReason.EVICTED))
+            last.admitted.set_result(RefusalReason.EVICTED)
         return True
 
-    def _refused(self, reason: RefusalReason) -> RefusalReason:
-        self._controller.refused()
-        return reason
-
     def _ahead_of(self, order: float) -> int:
         ahead = bisect.bisect_right(
             self._waiters,
@@ -203,13 +208,13 @@
             finish_ms += ahead * service_ms / max(self.limit.current(), 1)
         return finish_ms < deadline_ms
 
-    def _queue_bound(self) -> int:
-        return max(MIN_QUEUE, int(self.limit.current() * QUEUE_PER_SLOT))
+    def _queue_bound(self, order: float) -> int:
+        per_slot = INNER_QUEUE_PER_SLOT if order < 0 else QUEUE_PER_SLOT
+        return max(MIN_QUEUE, int(self.limit.current() * per_slot))
 
-    def _queue_share(self) -> float:
-        if not self._waiters:
-            return 0
-        return len(self._waiters) / self._queue_bound()
+    def _load(self) -> float:
+        work = self.in_flight + len(self._waiters)
+        return work / max(self.limit.current(), 1)
 
 
 def _was_admitted(admitted: asyncio.Future) -> bool:
--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -13,6 +13,7 @@
 
 from bergamotmount.clock import MS_PER_SECOND, Clock
 from bergamotmount.counters import Counters
+from bergamotmount.decisionlog import DecisionLog
 from bergamotmount.forwarding.headers import HeaderNames
 from bergamotmount.forwarding.http import (
     HttpRequest,
@@ -29,7 +30,7 @@
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.ports import Lost, NotSent
 from bergamotmount.ports import Reply as PeerReply
-from bergamotmount.rank import rank_of
+from bergamotmount.rank import OPEN_RANK, rank_of
 from bergamotmount.reasons import (
     NoRetryReason,
     RefusalReason,
@@ -72,6 +73,7 @@
     may_have_run: bool = False
     refusal: NotRun | None = None
     unknown: UnknownReason | None = None
+    threshold: float = OPEN_RANK
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +109,7 @@
         self._rng = rng
         self._attempts = itertools.count(1)
         self._budget_by_service: dict[str, RetryBudget] = {}
+        self._decisions = DecisionLog(clock, 'entry')
 
     async def handle(self, request: HttpRequest, _: Origin) -> Reply:
         """Return the reply to a request."""
@@ -183,6 +186,7 @@
         if work.rank <= threshold:
             return None
         wait_ms = RETRY_AFTER_MS * self._rng.uniform(1, 2)
+        work.threshold = threshold
         return NotRun(RefusalReason.OVER_THRESHOLD, int(wait_ms))
 
     async def _run(self, work: Work) -> Reply:
@@ -201,8 +205,8 @@
                 return self._give_up(work)
 
     async def _attempt(self, work: Work, server: Member) -> Answered | None:
-        call = self._call_of(work)
         router = self._parts.router
+        call = self._call_of(work)
         work.tried.add(server.node)
         router.sent(server.node)
         try:
@@ -247,6 +251,8 @@
             server.node,
             answer.threshold,
         )
+        for route, report in answer.thresholds.items():
+            self._parts.view.hear_indirect(route, report)
 
     def _note_refusal(
         self,
@@ -290,6 +296,7 @@
             idempotent=work.route.is_idempotent,
             depth=int(work.is_inner),
             target=request.target,
+            tries=len(work.tried),
         )
 
     def _may_retry(self, work: Work, budget: RetryBudget) -> bool:
@@ -315,6 +322,7 @@
 
     def _give_up(self, work: Work) -> Reply:
         if work.may_have_run:
+            self._write('unknown', work, work.unknown)
             is_late = work.unknown is UnknownReason.ANSWER_LATE
             return Reply(_GATEWAY_TIMEOUT if is_late else _BAD_GATEWAY)
         return self._refused(work.refusal, work)
@@ -323,11 +331,24 @@
         self._counters.refused(_ROLE, refusal.reason)
         wait_ms: float = refusal.retry_after_ms or RETRY_AFTER_MS
         if work is not None:
+            self._write('refused', work, refusal.reason)
             remaining_ms = work.deadline_ms - self._clock.now_ms()
             wait_ms = min(wait_ms, max(remaining_ms, 0) * WAIT_SHARE)
         seconds = f'{wait_ms / MS_PER_SECOND:.3f}'
         return Reply(_UNAVAILABLE, [self._names.retry_after, seconds])
 
+    def _write(self, kind: str, work: Work, reason: str) -> None:
+        self._decisions.write(
+            f'{kind}_call' if work.is_inner else kind,
+            request=work.request_id,
+            route=work.route.name,
+            reason=reason,
+            rank=work.rank,
+            threshold=work.threshold,
+            tried=','.join(sorted(work.tried)),
+            left_ms=round(work.deadline_ms - self._clock.now_ms()),
+        )
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -31,7 +31,7 @@
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.reasons import RefusalReason, UnknownReason
-from bergamotmount.threshold import ThresholdController
+from bergamotmount.threshold import ThresholdController, ThresholdView
 
 #: Least time that a request must have left when it goes to the server.
 LEAST_REMAINING_MS = 5
@@ -58,6 +58,7 @@
     admission: Admission
     controller: ThresholdController
     runs: RunsInHand
+    view: ThresholdView
 
 
 class Gateway:
@@ -66,12 +67,14 @@
     def __init__(
         self,
         clock: Clock,
+        node: str,
         parts: GatewayParts,
         names: HeaderNames,
         counters: Counters,
         pool_factory: PoolFactory = ConnectionPool,
     ) -> None:
-        """Guard a server that isn't known yet."""
+        """Guard a server, not known yet, as node ``node``."""
+        self._node = node
         self._pool_factory = pool_factory
         self.parts = parts
         self.process: ServerProcess | None = None
@@ -108,13 +111,16 @@
         deadline_ms = self._clock.now_ms() + call.remaining_ms
         outcome = await self._outcome(call, deadline_ms)
         self._count(outcome)
+        threshold = self.parts.runs.threshold_of(
+            call.operation,
+            self.parts.controller.current(),
+        )
+        self.parts.view.hear_direct(call.operation, self._node, threshold)
         return Answer(
             attempt=call.attempt,
             outcome=outcome,
-            threshold=self.parts.runs.threshold_of(
-                call.operation,
-                self.parts.controller.current(),
-            ),
+            threshold=threshold,
+            thresholds=self.parts.view.closed(),
             load_permille=self.parts.admission.load_permille,
             service_ms=round(self.parts.admission.service_time.current_ms()),
         )
@@ -126,6 +132,7 @@
                 call.rank,
                 deadline_ms,
                 is_inner=call.depth > 0,
+                is_repeat=call.tries > 0,
             )
         if refusal is not None:
             return self._not_run(refusal)
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -289,11 +289,13 @@
         )
         self.gateway = Gateway(
             clock,
+            self.members.own_node,
             GatewayParts(
                 self.lifecycle,
                 self.admission,
                 self.controller,
                 self.runs,
+                self.view,
             ),
             self.options.names,
             counters,
@@ -391,7 +393,7 @@
     def _prepare(self, heartbeat: Heartbeat) -> None:
         heartbeat.policy_offset = self.policy.version
         heartbeat.threshold = self.controller.current()
-        heartbeat.thresholds = self.view.reports()
+        heartbeat.thresholds = self.view.closed()
         heartbeat.load_permille = self.admission.load_permille
 
     def _on_server_state(self, state: ServerState) -> None:
--- a/bergamotmount/forwarding/placement.py
+++ b/bergamotmount/forwarding/placement.py
@@ -39,6 +39,12 @@
 #: Least share of successes that expected times are divided by.
 LEAST_SUCCESS = 0.05
 
+#: Share of a server's limit at which waiting grows without bound, the share
+#: from which it is taken to grow evenly instead, and by how much then.
+CROWDED_LOAD = 1.15
+FULL_LOAD = 1.1
+OVER_FULL_FACTOR = 60
+
 _PERMILLE = 1000
 
 
@@ -111,12 +117,10 @@
         service_ms = observed.service_ms if is_fresh else usual_ms
         success = max(1 - self._failures(observed, now_ms), LEAST_SUCCESS)
         load = self.load_permille(member) / _PERMILLE
-        return service_ms * max(load, 1) / success
+        return service_ms * _crowding(load) / success
 
     def _cost_ms(self, member: Member, usual_ms: float) -> float:
         cost_ms = self.expected_ms(member, usual_ms)
-        # Among equals the less loaded one is taken.
-        cost_ms *= 1 + self.load_permille(member) / _PERMILLE / 2
         if member.failure_domain == self._members.own.failure_domain:
             return cost_ms
         return cost_ms * FAR_FACTOR + FAR_MS
@@ -139,3 +143,10 @@
             observed = _Observed()
             self._observed_by_node[node] = observed
         return observed
+
+
+def _crowding(load: float) -> float:
+    """Return how much longer a server takes at a share of its limit."""
+    below_full = min(load, FULL_LOAD)
+    stretch = 1 + below_full**2 / (CROWDED_LOAD - below_full)
+    return stretch + (load - below_full) * OVER_FULL_FACTOR
--- a/bergamotmount/membership.py
+++ b/bergamotmount/membership.py
@@ -77,6 +77,14 @@
         """Mark a node as gone; return the news to spread, if it is any."""
         return self._degrade(node, MemberState.LEFT)
 
+    def is_far(self, address: str) -> bool:
+        """Return whether an address is in another failure domain."""
+        return any(
+            member.address == address
+            and member.failure_domain != self.own.failure_domain
+            for member in self.member_by_node.values()
+        )
+
     def routable(self, service: str) -> list[Member]:
         """Return the servers of a service that may be given work."""
         found = self._routable_by_service.get(service)
--- a/bergamotmount/messages.py
+++ b/bergamotmount/messages.py
@@ -21,7 +21,8 @@
     orders requests under overload, 0 first. ``remaining_ms`` is the time left
     until the deadline at the moment of sending, ``tokens`` the retry tokens
     lent to everything below this call. ``target`` is path and query of a
-    forwarded HTTP request, empty for a call of an operation.
+    forwarded HTTP request, empty for a call of an operation. ``tries``
+    counts the servers that were asked before.
     """
 
     attempt: int
@@ -38,6 +39,7 @@
     idempotent: bool = True
     depth: int = 0
     target: str = ''
+    tries: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -92,7 +92,7 @@
         rng = random.Random()
         ports = ForwardingPorts(
             clock,
-            TcpDialer(self._tallies),
+            TcpDialer(self._tallies, self._is_far),
             PlatformStore(clock, settings.store_address),
             parse_manifest,
             self._tallies,
@@ -134,6 +134,9 @@
         self.node.start()
         _log.info('Node {} is up.', settings.node)
 
+    def _is_far(self, address: str) -> bool:
+        return self.node.members.is_far(address)
+
     def _reload(self) -> None:
         try:
             settings = read_platform_settings(self._path)
--- a/bergamotmount/threshold.py
+++ b/bergamotmount/threshold.py
@@ -6,6 +6,7 @@
 work is spent on it. A threshold without fresh reports fades until it is open.
 """
 
+import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -13,35 +14,41 @@
 from bergamotmount.limit import ConcurrencyLimit, ServiceTime
 from bergamotmount.rank import LEVELS, OPEN_RANK
 
-#: Shortest and longest time over which arrivals are counted.
-MIN_WINDOW_MS = 100
-MAX_WINDOW_MS = 1000
+#: Time over which arrivals and load are counted at least.
+WINDOW_MS = 100
 
-#: Service times in a window: what a threshold does shows only after one.
-SERVICE_TIMES = 2
+#: Time over which the rates of arrivals are averaged.
+RATE_MS = 400
 
-#: Weight of former windows in the rate of arrivals.
-CARRY_OVER = 0.6
+#: Time until a change of the threshold shows in what arrives.
+SETTLE_MS = 1500
 
-#: What is left after a window of a rate that the threshold keeps from view.
-UNSEEN_FADE = 0.95
+#: Time in which half of a rate that is kept from view is forgotten.
+UNSEEN_HALF_LIFE_MS = 8000
 
 #: Slices of one importance level in the rates of arrivals.
 SLICES = 32
 
-#: Least visible share of a slice from which its whole rate is inferred.
-LEAST_VISIBLE = 0.1
+#: Share of the limit that should be in use, and the time over which a
+#: deviation from it is corrected.
+TARGET_LOAD = 1.1
+CORRECTION_MS = 1500
 
-#: Share of the queue in use above which a window counts as overloaded, and
-#: share below which it counts as relaxed.
-OVERLOADED_QUEUE = 0.5
-RELAXED_QUEUE = 0.25
+#: Least load that a deviation is related to.
+LEAST_LOAD = 0.3
 
-#: Arrivals that are let in, as a factor on what the server can finish.
-OVERLOADED_FACTOR = 0.9
-STEADY_FACTOR = 1.0
-RELAXED_FACTOR = 1.1
-IDLE_FACTOR = 1.5
+#: Greatest correction in one window, downwards and upwards.
+MAX_DECREASE = 0.4
+MAX_INCREASE = 0.3
+
+#: Load above which no more is let in than the server can finish, and the
+#: factor on what it can finish.
+BUSY_LOAD = 1.2
+CAPACITY_FACTOR = 1.1
+
+#: Share of what the server can finish that is let in at least while it is
+#: not busy: what the threshold hides can not show that there is room.
+LEAST_SHARE = 0.3
 
 #: A fall of the threshold below this share of its value is told at once.
 URGENT_DROP = 0.9
@@ -66,10 +73,15 @@
 class ThresholdController:
     """Sets the threshold of one backend server.
 
-    It keeps the rate of arrivals by rank and the rate that the server can
-    finish, and sets the threshold where the one reaches the other. What the
-    threshold itself keeps from view is remembered and fades, so that opening
-    again lets in little more at each step than the server can take.
+    Load pattern: demand jumps to twice of what the server can finish, and
+    what is refused at the entry shows at the server only after the calls of
+    requests that are already in: half a second or more later. A controller
+    that acts on each window then swings between closed and open.
+
+    It keeps the rate of arrivals by rank, corrects the rate that is let in
+    slowly towards the target load, and never lets in more than the server
+    can finish while that is busy. Rates above the lowest threshold of the
+    last while are remembered and not forgotten before news of them can come.
     """
 
     def __init__(
@@ -91,29 +103,27 @@
         self._rank = OPEN_RANK
         self._counts = [0 for _ in range(_BUCKETS)]
         self._rates = [float(0) for _ in range(_BUCKETS)]
-        self._queue_share_sum: float = 0
-        self._queue_samples = 0
-        self._refusals = 0
-        self._completions = 0
+        self._load_sum: float = 0
+        self._load_samples = 0
+        self._former: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
         self._window_start_ms = clock.now_ms()
-        self._window_end_ms = self._window_start_ms + MIN_WINDOW_MS
 
-    def arrived(self, rank: float, queue_share: float) -> None:
-        """Count a request that came in, refused or not."""
+    def arrived(self, rank: float, load: float) -> None:
+        """Count a request that came in for the first time, refused or not.
+
+        ``load`` is what is in flight and waits, as a share of the limit.
+        """
         self._advance()
         bucket = min(int(rank * SLICES), _BUCKETS - 1)
         self._counts[bucket] += 1
-        self._sample(queue_share)
+        self._sample(load)
 
-    def completed(self, queue_share: float) -> None:
+    def completed(self, load: float) -> None:
         """Count a request that the backend server has finished."""
         self._advance()
-        self._completions += 1
-        self._sample(queue_share)
-
-    def refused(self) -> None:
-        """Count a request that was refused because of load."""
-        self._refusals += 1
+        self._sample(load)
 
     def current(self) -> float:
         """Return the threshold now; requests of a greater rank don't pass."""
@@ -124,84 +134,72 @@
         """Return how far the threshold is closed, from 1 for open upwards."""
         return OPEN_RANK / self.current()
 
-    def _sample(self, queue_share: float) -> None:
-        self._queue_share_sum += queue_share
-        self._queue_samples += 1
+    def _sample(self, load: float) -> None:
+        self._load_sum += load
+        self._load_samples += 1
 
     def _advance(self) -> None:
         now_ms = self._clock.now_ms()
-        if now_ms < self._window_end_ms:
-            return
         elapsed_ms = now_ms - self._window_start_ms
-        window_ms = self._window_ms()
-        self._close_window(elapsed_ms)
-        for _ in range(min(int(elapsed_ms / window_ms) - 1, _BUCKETS)):
-            self._close_window(window_ms)
+        if elapsed_ms < WINDOW_MS:
+            return
         self._window_start_ms = now_ms
-        self._window_end_ms = now_ms + self._window_ms()
-
-    def _window_ms(self) -> float:
-        window_ms = SERVICE_TIMES * self._service_time.current_ms()
-        return min(max(window_ms, MIN_WINDOW_MS), MAX_WINDOW_MS)
-
-    def _close_window(self, window_ms: float) -> None:
-        self._update_rates(window_ms)
+        self._update_rates(elapsed_ms, self._settled_rank(now_ms))
         before = self._rank
-        finished = self._finished_per_ms(window_ms)
-        self._set_rank(finished * self._factor())
+        self._rank = self._rank_at(self._allowed(elapsed_ms))
+        self._load_sum = 0
+        self._load_samples = 0
         if self._rank < before * URGENT_DROP:
             self._on_drop()
-        self._counts = [0 for _ in range(_BUCKETS)]
-        self._queue_share_sum = 0
-        self._queue_samples = 0
-        self._refusals = 0
-        self._completions = 0
 
-    def _is_overloaded(self) -> bool:
-        return bool(self._refusals) or self._queue_share() > OVERLOADED_QUEUE
+    def _settled_rank(self, now_ms: float) -> float:
+        self._former.append((now_ms, self._rank))
+        while self._former[0][0] < now_ms - SETTLE_MS:
+            self._former.popleft()
+        return min(rank for _, rank in self._former)
 
-    def _queue_share(self) -> float:
-        return self._queue_share_sum / max(self._queue_samples, 1)
+    def _update_rates(self, elapsed_ms: float, settled_rank: float) -> None:
+        weight = min(elapsed_ms / RATE_MS, 1)
+        kept = 0.5 ** (elapsed_ms / UNSEEN_HALF_LIFE_MS)
+        settled_buckets = int(settled_rank * SLICES)
+        for bucket, count in enumerate(self._counts):
+            rate = self._rates[bucket]
+            seen = rate + weight * (count / elapsed_ms - rate)
+            if bucket >= settled_buckets:
+                seen = max(seen, rate * kept)
+            self._rates[bucket] = seen
+        self._counts = [0 for _ in range(_BUCKETS)]
 
-    def _finished_per_ms(self, window_ms: float) -> float:
+    def _allowed(self, elapsed_ms: float) -> float:
+        load = self._load_sum / max(self._load_samples, 1)
+        if elapsed_ms > SETTLE_MS:
+            # Nothing came for long: what was seen before no longer holds.
+            load = 0
+        deviation = (TARGET_LOAD - load) / max(load, LEAST_LOAD)
+        change = deviation * elapsed_ms / CORRECTION_MS
+        bounded = min(max(change, -MAX_DECREASE), MAX_INCREASE)
+        allowed = self._rate_up_to(self._rank) * (1 + bounded)
         service_ms = self._service_time.current_ms()
-        if not service_ms:
+        if not service_ms or not load:
             return float('inf')
         finished = self._limit.current() / service_ms
-        if self._is_overloaded():
-            # A server that has just slowed shows it here first: the average
-            # of service times still lacks the requests that take long.
-            return min(finished, (self._completions + 1) / window_ms)
-        return finished
-
-    def _update_rates(self, window_ms: float) -> None:
-        edge = self._rank * SLICES
-        for bucket, count in enumerate(self._counts):
-            visible = min(edge - bucket, 1)
-            rate = self._rates[bucket]
-            if visible < LEAST_VISIBLE:
-                rate = max(rate * UNSEEN_FADE, count / window_ms)
-            else:
-                rate *= CARRY_OVER
-                rate += (1 - CARRY_OVER) * count / visible / window_ms
-            self._rates[bucket] = rate
-
-    def _factor(self) -> float:
-        queue_share = self._queue_share()
-        if self._is_overloaded():
-            return OVERLOADED_FACTOR
-        if queue_share > RELAXED_QUEUE:
-            return STEADY_FACTOR
-        return RELAXED_FACTOR if queue_share else IDLE_FACTOR
-
-    def _set_rank(self, budget: float) -> None:
-        self._rank = OPEN_RANK
+        if load > BUSY_LOAD:
+            return min(allowed, finished * CAPACITY_FACTOR)
+        return max(allowed, finished * LEAST_SHARE)
+
+    def _rate_up_to(self, rank: float) -> float:
+        whole = int(rank * SLICES)
+        total = sum(self._rates[:whole])
+        if whole < _BUCKETS:
+            total += self._rates[whole] * (rank * SLICES - whole)
+        return total
+
+    def _rank_at(self, allowed: float) -> float:
         for bucket, rate in enumerate(self._rates):
-            if rate > budget:
-                rank = (bucket + budget / rate) / SLICES
-                self._rank = max(rank, LEAST_RANK)
-                return
-            budget -= rate
+            if rate > allowed:
+                return max((bucket + allowed / rate) / SLICES, LEAST_RANK)
+            allowed -= rate
+        return OPEN_RANK
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -256,9 +254,9 @@
         """Return the threshold of a service, averaged over its servers."""
         now_ms = self._clock.now_ms()
         fresh = self._fresh_direct(service, now_ms)
-        if fresh:
-            return sum(heard.faded(now_ms) for heard in fresh) / len(fresh)
         indirect = self._indirect_by_service.get(service)
+        if fresh and not _is_newer(indirect, fresh):
+            return sum(heard.faded(now_ms) for heard in fresh) / len(fresh)
         return indirect.faded(now_ms) if indirect else OPEN_RANK
 
     def reports(self) -> dict[str, ThresholdReport]:
@@ -269,6 +267,14 @@
             self._reports_made_ms = now_ms
         return self._reports
 
+    def closed(self) -> dict[str, ThresholdReport]:
+        """Return what to pass on of services that refuse anything."""
+        return {
+            service: report
+            for service, report in self.reports().items()
+            if report.rank < OPEN_RANK
+        }
+
     def _make_reports(self, now_ms: float) -> dict[str, ThresholdReport]:
         services = {*self._direct_by_service, *self._indirect_by_service}
         reports = {}
@@ -280,11 +286,11 @@
         return reports
 
     def _newest_ms(self, service: str, now_ms: float) -> float:
-        fresh = self._fresh_direct(service, now_ms)
-        if fresh:
-            return max(heard.set_ms for heard in fresh)
+        heard = self._fresh_direct(service, now_ms)
         indirect = self._indirect_by_service.get(service)
-        return indirect.set_ms if indirect else float('-inf')
+        if indirect is not None:
+            heard.append(indirect)
+        return max((each.set_ms for each in heard), default=float('-inf'))
 
     def _fresh_direct(self, service: str, now_ms: float) -> list[_Heard]:
         by_server = self._direct_by_service.get(service)
@@ -294,3 +300,9 @@
         return [
             heard for heard in by_server.values() if heard.set_ms > oldest_ms
         ]
+
+
+def _is_newer(indirect: _Heard | None, direct: list[_Heard]) -> bool:
+    if indirect is None:
+        return False
+    return indirect.set_ms > max(heard.set_ms for heard in direct)
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -92,6 +92,7 @@
         call.idempotent,
         call.depth,
         call.target,
+        call.tries,
     )
 
 
@@ -111,6 +112,7 @@
         _present(wire.idempotent),
         wire.depth or 0,
         wire.target or '',
+        wire.tries or 0,
     )
 
 
--- a/bergamotmount/wire/gen/ttypes.py
+++ b/bergamotmount/wire/gen/ttypes.py
@@ -33,6 +33,7 @@
      - idempotent
      - depth
      - target
+     - tries
 
     """
 
@@ -51,10 +52,11 @@
         'idempotent',
         'depth',
         'target',
+        'tries',
     )
 
 
-    def __init__(self, attempt=None, root=None, rank=None, remaining_ms=None, tokens=None, service_name=None, operation=None, method=None, headers=None, body=None, ticket=None, idempotent=None, depth=None, target=None,):
+    def __init__(self, attempt=None, root=None, rank=None, remaining_ms=None, tokens=None, service_name=None, operation=None, method=None, headers=None, body=None, ticket=None, idempotent=None, depth=None, target=None, tries=None,):
         self.attempt = attempt
         self.root = root
         self.rank = rank
@@ -69,6 +71,7 @@
         self.idempotent = idempotent
         self.depth = depth
         self.target = target
+        self.tries = tries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -154,6 +157,11 @@
                     self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I16:
+                    self.tries = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -223,6 +231,10 @@
             oprot.writeFieldBegin('target', TType.STRING, 14)
             oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
             oprot.writeFieldEnd()
+        if self.tries is not None:
+            oprot.writeFieldBegin('tries', TType.I16, 15)
+            oprot.writeI16(self.tries)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1338,6 +1350,7 @@
     (12, TType.BOOL, 'idempotent', None, None, ),  # 12
     (13, TType.I16, 'depth', None, None, ),  # 13
     (14, TType.STRING, 'target', 'UTF8', None, ),  # 14
+    (15, TType.I16, 'tries', None, None, ),  # 15
 )
 all_structs.append(Threshold)
 Threshold.thrift_spec = (
--- a/bergamotmount/wire/messages.thrift
+++ b/bergamotmount/wire/messages.thrift
@@ -21,6 +21,7 @@
   12: bool idempotent
   13: i16 depth
   14: string target
+  15: i16 tries
 }
 
 struct Threshold {
--- a/bergamotmount/wire/tcp.py
+++ b/bergamotmount/wire/tcp.py
@@ -7,6 +7,11 @@
 from bergamotmount.messages import Message
 from bergamotmount.ports import ChannelError
 from bergamotmount.wire.codec import decode, encode
+from bergamotmount.wire.compression import (
+    COMPRESSED,
+    FrameCompressor,
+    FrameExpander,
+)
 from bergamotmount.wire.frames import (
     MAX_PAYLOAD_BYTES,
     FrameError,
@@ -34,6 +39,13 @@
         self._transport = writer.transport
         self._counters = counters
         self._max_payload_bytes = max_payload_bytes
+        self._compressor: FrameCompressor | None = None
+        self._expander: FrameExpander | None = None
+
+    def start_compressing(self) -> None:
+        """Compress what is sent from now on; the peer then does the same."""
+        if self._compressor is None:
+            self._compressor = FrameCompressor()
 
     def send(self, message: Message) -> None:
         """Write a message to the connection's buffer."""
@@ -43,7 +55,11 @@
             self.close()
             raise ChannelError('peer does not read')
         kind, payload = encode(message)
-        self._transport.write(pack_frame(kind, payload))
+        number = int(kind)
+        if self._compressor is not None:
+            number |= COMPRESSED
+            payload = self._compressor.compress(payload)
+        self._transport.write(pack_frame(number, payload))
 
     async def receive(self) -> Message:
         """Return the next message."""
@@ -52,7 +68,7 @@
                 self._reader,
                 self._max_payload_bytes,
             )
-            return decode(kind, payload)
+            return decode(*self._plain(kind, payload))
         except FrameError as error:
             self._counters.dropped(error.reason)
             self.close()
@@ -66,13 +82,33 @@
         if not self._transport.is_closing():
             self._transport.abort()
 
+    def _plain(self, kind: int, payload: bytes) -> tuple[int, bytes]:
+        if not kind & COMPRESSED:
+            return kind, payload
+        if self._expander is None:
+            self._expander = FrameExpander(self._max_payload_bytes)
+            self.start_compressing()
+        return kind & ~COMPRESSED, self._expander.expand(payload)
+
+
+def _is_never_far(_address: str) -> bool:
+    return False
+
 
 class TcpDialer:
     """Opens TCP channels."""
 
-    def __init__(self, counters: Counters) -> None:
-        """Count dropped connections in ``counters``."""
+    def __init__(
+        self,
+        counters: Counters,
+        is_far: Callable[[str], bool] = _is_never_far,
+    ) -> None:
+        """Count dropped connections in ``counters``.
+
+        What goes to an address for which ``is_far`` holds is compressed.
+        """
         self._counters = counters
+        self._is_far = is_far
 
     async def open(self, address: str) -> TcpChannel:
         """Return a channel to ``ip:port``."""
@@ -81,7 +117,10 @@
             reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, ValueError) as error:
             raise ChannelError(f'no connection to {address}') from error
-        return TcpChannel(reader, writer, self._counters)
+        channel = TcpChannel(reader, writer, self._counters)
+        if self._is_far(address):
+            channel.start_compressing()
+        return channel
 
 
 class PeerListener:
