Cut frames as their bytes come, without a stream reader

Tests: frames cut at every size of pieces, compression, bad payloads, what came before the end. One new test first hung for ten minutes, since its echo left the channel open when cancelled; the echo was wrong, not the channel.

--- a/bergamotmount/forwarding/runs.py
+++ b/bergamotmount/forwarding/runs.py
@@ -97,6 +97,7 @@
         self._rng = rng
         self._matches_by_route: dict[str, _Matches] = {}
         self._runs: list[Run] = []
+        self._deadlines: list[float] = []
         self._callees_by_route: dict[str, dict[str, _Callee]] = {}
 
     def __len__(self) -> int:
@@ -105,20 +106,19 @@
 
     def add(self, run: Run) -> None:
         """Hold a run from the moment at which it is sent."""
-        bisect.insort(self._runs, run, key=_deadline_of)
+        index = bisect.bisect_left(self._deadlines, run.deadline_ms)
+        self._runs.insert(index, run)
+        self._deadlines.insert(index, run.deadline_ms)
         for callee in self._callees_by_route.get(run.route, {}).values():
             callee.calls_per_run *= 1 - RUN_WEIGHT
 
     def remove(self, run: Run) -> None:
         """Forget a run; one that is not held is no fault."""
-        index = bisect.bisect_left(
-            self._runs,
-            run.deadline_ms,
-            key=_deadline_of,
-        )
+        index = bisect.bisect_left(self._deadlines, run.deadline_ms)
         while index < len(self._runs):
             if self._runs[index] is run:
                 self._runs.pop(index)
+                self._deadlines.pop(index)
                 return
             index += 1
 
@@ -156,11 +156,7 @@
         return threshold
 
     def _run_at(self, expires_ms: float) -> Run | None:
-        index = bisect.bisect_left(
-            self._runs,
-            expires_ms - LATER_MS,
-            key=_deadline_of,
-        )
+        index = bisect.bisect_left(self._deadlines, expires_ms - LATER_MS)
         if index == len(self._runs):
             return None
         run = self._runs[index]
@@ -175,7 +171,7 @@
         return found / len(CHANCE_OFFSETS_MS)
 
     def _any_until(self, expires_ms: float) -> Run | None:
-        index = bisect.bisect_left(self._runs, expires_ms, key=_deadline_of)
+        index = bisect.bisect_left(self._deadlines, expires_ms)
         if index == len(self._runs):
             return None
         return self._runs[self._rng.randrange(index, len(self._runs))]
@@ -185,7 +181,3 @@
         callee = callees.setdefault(route, _Callee(0, 0))
         callee.calls_per_run += RUN_WEIGHT
         callee.seen_ms = self._clock.now_ms()
-
-
-def _deadline_of(run: Run) -> float:
-    return run.deadline_ms
--- a/bergamotmount/tests/test_codec.py
+++ b/bergamotmount/tests/test_codec.py
@@ -13,11 +13,12 @@
 from bergamotmount.tests.fakes import CountingCounters
 from bergamotmount.threshold import ThresholdReport
 from bergamotmount.wire.codec import Kind, decode, encode
+from bergamotmount.wire.compression import FrameCompressor, FrameExpander
 from bergamotmount.wire.frames import (
     HEADER_BYTES,
     FrameError,
+    FrameSplitter,
     pack_frame,
-    read_frame,
 )
 from bergamotmount.wire.tcp import PeerListener, TcpChannel, TcpDialer
 
@@ -107,56 +108,80 @@
                 decode(kind, payload[:length])
 
 
-class FrameTest(unittest.IsolatedAsyncioTestCase):
+class FrameTest(unittest.TestCase):
     """Whatever is no whole valid frame is refused with its reason."""
 
-    async def test_a_frame_is_read_back(self):
-        kind, payload = await self.read(pack_frame(3, b'payload'))
-        self.assertEqual((kind, payload), (3, b'payload'))
+    def test_frames_are_cut_wherever_the_bytes_break(self):
+        stream = pack_frame(3, b'payload') + pack_frame(4, b'') * 2
+        for size in range(1, len(stream) + 1):
+            splitter = FrameSplitter()
+            frames = []
+            for start in range(0, len(stream), size):
+                frames.extend(splitter.feed(stream[start : start + size]))
+            splitter.end()
+            self.assertEqual(frames, [(3, b'payload'), (4, b''), (4, b'')])
 
-    async def test_end_between_frames(self):
-        with self.assertRaises(EOFError):
-            await self.read(b'')
+    def test_end_between_frames(self):
+        self.assertEqual(self.read(b''), [])
 
-    async def test_truncated_frames(self):
+    def test_truncated_frames(self):
         frame = pack_frame(3, b'payload')
-        for length in range(1, len(frame) - 1):
-            await self.assert_reason(frame[:length], DropReason.FRAME_TRUNCATED)
+        for length in range(1, len(frame)):
+            self.assert_reason(frame[:length], DropReason.FRAME_TRUNCATED)
 
-    async def test_changed_bits(self):
+    def test_changed_bits(self):
         frame = pack_frame(3, b'payload')
-        for position, byte in enumerate(frame):
-            if position < HEADER_BYTES:
-                continue
+        for position in range(len(frame) - HEADER_BYTES):
             changed = bytearray(frame)
-            changed[position] = byte ^ 1
-            await self.assert_reason(bytes(changed), DropReason.FRAME_CHECKSUM)
+            changed[HEADER_BYTES + position] ^= 1
+            self.assert_reason(bytes(changed), DropReason.FRAME_CHECKSUM)
 
-    async def test_changed_kind(self):
+    def test_changed_kind(self):
         changed = bytearray(pack_frame(3, b'payload'))
         changed[HEADER_BYTES - 1] ^= 1
-        await self.assert_reason(bytes(changed), DropReason.FRAME_CHECKSUM)
+        self.assert_reason(bytes(changed), DropReason.FRAME_CHECKSUM)
 
-    async def test_oversized_frames_are_refused_unread(self):
+    def test_oversized_frames_are_refused_unread(self):
         frame = pack_frame(3, b'payload')
-        reader = self.reader(frame)
+        splitter = FrameSplitter(max_payload_bytes=6)
         with self.assertRaises(FrameError) as caught:
-            await read_frame(reader, max_payload_bytes=6)
+            splitter.feed(frame[:HEADER_BYTES])
         self.assertEqual(caught.exception.reason, DropReason.FRAME_TOO_LARGE)
 
-    async def assert_reason(self, stream: bytes, reason: DropReason):
+    def assert_reason(self, stream: bytes, reason: DropReason):
         with self.assertRaises(FrameError) as caught:
-            await self.read(stream)
+            self.read(stream)
         self.assertEqual(caught.exception.reason, reason)
 
-    async def read(self, stream: bytes):
-        return await read_frame(self.reader(stream))
+    def read(self, stream: bytes):
+        splitter = FrameSplitter()
+        frames = splitter.feed(stream)
+        splitter.end()
+        return frames
 
-    def reader(self, stream: bytes) -> asyncio.StreamReader:
-        reader = asyncio.StreamReader()
-        reader.feed_data(stream)
-        reader.feed_eof()
-        return reader
+
+class CompressionTest(unittest.TestCase):
+    """Repeated headers take few bytes, and bad bytes are refused."""
+
+    def test_frames_are_restored_in_order(self):
+        compressor, expander = FrameCompressor(), FrameExpander(10_000)
+        rng = random.Random(4)
+        packed_bytes = 0
+        for number in range(50):
+            payload = b'Host: shop\r\nAccept: */*\r\n' * 4 + rng.randbytes(40)
+            packed = compressor.compress(payload)
+            packed_bytes += len(packed)
+            self.assertEqual(expander.expand(packed), payload, number)
+        self.assertLess(packed_bytes, 50 * 75)
+
+    def test_malformed_and_oversized_payloads(self):
+        with self.assertRaises(FrameError) as caught:
+            FrameExpander(10_000).expand(b'\xff\xff\xff')
+        self.assertEqual(caught.exception.reason, DropReason.FRAME_MALFORMED)
+        packed = FrameCompressor().compress(bytes(1000))
+        with self.assertRaises(FrameError) as caught:
+            FrameExpander(999).expand(packed)
+        self.assertEqual(caught.exception.reason, DropReason.FRAME_TOO_LARGE)
 
 
 class TcpTest(unittest.IsolatedAsyncioTestCase):
@@ -176,6 +201,8 @@
                 channel.send(await channel.receive())
         except ChannelError:
             return
+        finally:
+            channel.close()
 
     async def test_foreign_bytes_close_only_their_connection(self):
         good = await TcpDialer(Counters()).open(self.address)
@@ -189,6 +216,24 @@
         self.assertEqual(await good.receive(), messages.Ping())
         good.close()
 
+    async def test_a_compressing_dialer_gets_compressed_answers(self):
+        dialer = TcpDialer(Counters(), lambda address: address == self.address)
+        channel = await dialer.open(self.address)
+        for _ in range(3):
+            channel.send(CALL)
+            self.assertEqual(await channel.receive(), CALL)
+        self.assertIsNotNone(channel._expander)
+        channel.close()
+
+    async def test_what_came_before_the_end_is_received(self):
+        channel = await TcpDialer(Counters()).open(self.address)
+        channel.send(messages.Ping())
+        await asyncio.sleep(0.05)
+        await self.listener.close()
+        self.assertEqual(await channel.receive(), messages.Ping())
+        with self.assertRaises(ChannelError):
+            await channel.receive()
+
     async def test_a_dead_address_is_a_channel_error(self):
         await self.listener.close()
         with self.assertRaises(ChannelError):
--- a/bergamotmount/wire/frames.py
+++ b/bergamotmount/wire/frames.py
@@ -5,7 +5,6 @@
 connection it came on is closed, and nothing else is affected.
 """
 
-import asyncio
 import struct
 import zlib
 
@@ -35,32 +34,54 @@
     return _HEADER.pack(len(payload), checksum, kind) + payload
 
 
-async def read_frame(
-    reader: asyncio.StreamReader,
-    max_payload_bytes: int = MAX_PAYLOAD_BYTES,
-) -> tuple[int, bytes]:
-    """Return kind and payload of the next frame.
+class FrameSplitter:
+    """Cuts the bytes of one connection into frames.
 
-    Raise ``EOFError`` at the end between two frames and :class:`FrameError`
-    for anything malformed.
+    ::
+
+        splitter = FrameSplitter()
+        for kind, payload in splitter.feed(received):
+            ...
+        splitter.end()
     """
-    header = await _read_header(reader)
-    length, checksum, kind = _HEADER.unpack(header)
-    if length > max_payload_bytes:
-        raise FrameError(DropReason.FRAME_TOO_LARGE)
-    try:
-        payload = await reader.readexactly(length)
-    except asyncio.IncompleteReadError:
-        raise FrameError(DropReason.FRAME_TRUNCATED) from None
-    if zlib.crc32(payload, kind) != checksum:
-        raise FrameError(DropReason.FRAME_CHECKSUM)
-    return kind, payload
-
-
-async def _read_header(reader: asyncio.StreamReader) -> bytes:
-    try:
-        return await reader.readexactly(HEADER_BYTES)
-    except asyncio.IncompleteReadError as error:
-        if error.partial:
-            raise FrameError(DropReason.FRAME_TRUNCATED) from None
-        raise EOFError from None
+
+    def __init__(self, max_payload_bytes: int = MAX_PAYLOAD_BYTES) -> None:
+        """Refuse frames whose payload is longer than ``max_payload_bytes``."""
+        self._max_payload_bytes = max_payload_bytes
+        self._received = bytearray()
+
+    def feed(self, received: bytes) -> list[tuple[int, bytes]]:
+        """Return kind and payload of each frame that is whole now.
+
+        Raise :class:`FrameError` for anything malformed; frames before it
+        are lost with it, as the connection is.
+        """
+        self._received += received
+        frames = []
+        start = 0
+        while len(self._received) - start >= HEADER_BYTES:
+            end = self._end_of_frame(start)
+            if end > len(self._received):
+                break
+            frames.append(self._cut(start, end))
+            start = end
+        self._received = self._received[start:]
+        return frames
+
+    def end(self) -> None:
+        """Raise :class:`FrameError` when a frame is left unfinished."""
+        if self._received:
+            raise FrameError(DropReason.FRAME_TRUNCATED)
+
+    def _end_of_frame(self, start: int) -> int:
+        length, _, _ = _HEADER.unpack_from(self._received, start)
+        if length > self._max_payload_bytes:
+            raise FrameError(DropReason.FRAME_TOO_LARGE)
+        return start + HEADER_BYTES + length
+
+    def _cut(self, start: int, end: int) -> tuple[int, bytes]:
+        _, checksum, kind = _HEADER.unpack_from(self._received, start)
+        payload = bytes(self._received[start + HEADER_BYTES : end])
+        if zlib.crc32(payload, kind) != checksum:
+            raise FrameError(DropReason.FRAME_CHECKSUM)
+        return kind, payload
