Keep the limit of a server that sheds with room; split the retry budget

The limit took each shed for overload and fell; repeats of requests that had not run were held to the small share that those which may have run need, since only the latter repeat their calls below. Now a shed lowers the limit only of a full server; requests refused without running get half of the allowed ratio, lost ones a tenth.

--- a/bergamotmount/ctl.py
+++ b/bergamotmount/ctl.py
@@ -9,7 +9,7 @@
 import json
 import sys
 
-from bergamotmount import __version__, ctlpublish, ctlviews
+from bergamotmount import __version__, ctlexplain, ctlpublish, ctlviews
 from bergamotmount.ctlsources import InputError, NodeError, Report, Sources
 from bergamotmount.ports import LogError
 
@@ -77,6 +77,7 @@
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
     _add_record_commands(commands)
     _add_view_commands(commands)
+    _add_log_commands(commands)
     return parser
 
 
@@ -134,5 +135,20 @@
     conflicts.set_defaults(run=ctlviews.conflicts)
 
 
+def _add_log_commands(commands) -> None:
+    explain = commands.add_parser(
+        'explain',
+        help='print what the logs say of a request, and what ended it',
+    )
+    explain.add_argument('id', metavar='ID', help='id of the request')
+    explain.add_argument(
+        'files',
+        nargs='*',
+        metavar='FILE',
+        help='logs of nodes (default: standard input)',
+    )
+    explain.set_defaults(run=ctlexplain.explain)
+
+
 if __name__ == '__main__':
     main()
--- a/bergamotmount/forwarding/directory.py
+++ b/bergamotmount/forwarding/directory.py
@@ -49,9 +49,8 @@
         pause_ms = READ_AGAIN_MS
         while True:
             addresses = await self._insist(self._store.addresses)
-            add_seeds(
-                each for each in addresses if each != self._members.own.address
-            )
+            own = self._members.own.address
+            add_seeds(each for each in addresses if each not in {'', own})
             await self._clock.sleep(pause_ms * self._rng.uniform(1, 2))
             pause_ms = min(pause_ms * 4, MAX_READ_AGAIN_MS)
 
--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -22,7 +22,7 @@
 )
 from bergamotmount.forwarding.httpserver import Origin, Reply
 from bergamotmount.forwarding.placement import Placement
-from bergamotmount.forwarding.retrybudget import RetryBudget
+from bergamotmount.forwarding.retrybudget import ServiceRetries
 from bergamotmount.forwarding.routetable import Route, RouteTable, SplitPicker
 from bergamotmount.forwarding.runs import RunsInHand
 from bergamotmount.member import Member
@@ -86,7 +86,7 @@
     table: Callable[[], RouteTable | None]
     call: Callable[[Member, Call], Awaitable[PeerReply]]
     own_service: Callable[[], str]
-    budget: Callable[[], RetryBudget]
+    new_retries: Callable[[], ServiceRetries]
 
 
 class Entry:
@@ -108,7 +108,7 @@
         self._counters = counters
         self._rng = rng
         self._attempts = itertools.count(1)
-        self._budget_by_service: dict[str, RetryBudget] = {}
+        self._retries_by_service: dict[str, ServiceRetries] = {}
         self._decisions = DecisionLog(clock, 'entry')
 
     async def handle(self, request: HttpRequest, _: Origin) -> Reply:
@@ -190,8 +190,8 @@
         return NotRun(RefusalReason.OVER_THRESHOLD, int(wait_ms))
 
     async def _run(self, work: Work) -> Reply:
-        budget = self._budget(work.service)
-        budget.sent()
+        retries = self._retries(work.service)
+        retries.sent()
         while True:
             server = self._parts.router.pick(work.service, work.tried)
             if server is None:
@@ -201,7 +201,7 @@
             answered = await self._attempt(work, server)
             if answered is not None:
                 return Reply(answered.status, answered.headers, answered.body)
-            if not self._may_retry(work, budget):
+            if not self._may_retry(work, retries):
                 return self._give_up(work)
 
     async def _attempt(self, work: Work, server: Member) -> Answered | None:
@@ -299,10 +299,11 @@
             tries=len(work.tried),
         )
 
-    def _may_retry(self, work: Work, budget: RetryBudget) -> bool:
+    def _may_retry(self, work: Work, retries: ServiceRetries) -> bool:
         reason = self._reason_against_retry(work)
-        if reason is None and work.servers_reached and not budget.take():
-            reason = NoRetryReason.RATIO
+        if reason is None and work.servers_reached:
+            is_allowed = retries.take(work.may_have_run)
+            reason = None if is_allowed else NoRetryReason.RATIO
         if reason is not None:
             self._counters.not_retried(reason)
             return False
@@ -349,12 +350,12 @@
             left_ms=round(work.deadline_ms - self._clock.now_ms()),
         )
 
-    def _budget(self, service: str) -> RetryBudget:
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            budget = self._parts.budget()
-            self._budget_by_service[service] = budget
-        return budget
+    def _retries(self, service: str) -> ServiceRetries:
+        retries = self._retries_by_service.get(service)
+        if retries is None:
+            retries = self._parts.new_retries()
+            self._retries_by_service[service] = retries
+        return retries
 
 
 def _is_good(outcome: Outcome) -> bool:
--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -12,6 +12,7 @@
 from bergamotmount.admission import Admission
 from bergamotmount.clock import Clock
 from bergamotmount.counters import Counters
+from bergamotmount.decisionlog import DecisionLog
 from bergamotmount.forwarding.headers import HeaderNames
 from bergamotmount.forwarding.http import (
     CONNECTION_HEADERS,
@@ -83,6 +84,7 @@
         self._counters = counters
         self._pool: ConnectionPool | None = None
         self._detached: set[asyncio.Task] = set()
+        self._decisions = DecisionLog(clock, 'gateway')
 
     @property
     def connections_opened(self) -> int:
@@ -110,7 +112,7 @@
         """
         deadline_ms = self._clock.now_ms() + call.remaining_ms
         outcome = await self._outcome(call, deadline_ms)
-        self._count(outcome)
+        self._count(call, outcome)
         threshold = self.parts.runs.threshold_of(
             call.operation,
             self.parts.controller.current(),
@@ -147,6 +149,8 @@
         admission = self.parts.admission
         run = Run(call.operation, call.rank, deadline_ms)
         started_ms = self._clock.now_ms()
+        # A server that refuses with room to spare isn't overloaded but broken.
+        was_full = admission.in_flight >= admission.limit.current()
         try:
             outcome = await self._send(call, run)
         finally:
@@ -156,7 +160,7 @@
             case Answered():
                 admission.service_time.add(self._clock.now_ms() - started_ms)
                 admission.limit.succeeded()
-            case NotRun(RefusalReason.SERVER_SHED):
+            case NotRun(RefusalReason.SERVER_SHED) if was_full:
                 admission.limit.overloaded()
         return outcome
 
@@ -243,9 +247,28 @@
     def _not_run(self, reason: RefusalReason) -> NotRun:
         return NotRun(reason, self.parts.admission.retry_after_ms())
 
-    def _count(self, outcome: Outcome) -> None:
+    def _count(self, call: Call, outcome: Outcome) -> None:
         match outcome:
             case NotRun(reason):
                 self._counters.refused(_ROLE, reason)
+                self._write('refused', call, reason)
             case Unknown(reason):
                 self._counters.unknown(_ROLE, reason)
+                self._write('unknown', call, reason)
+
+    def _write(self, kind: str, call: Call, reason: str) -> None:
+        admission = self.parts.admission
+        process = self.process
+        self._decisions.write(
+            kind,
+            request=call.root,
+            route=call.operation,
+            reason=reason,
+            rank=call.rank,
+            instance='' if process is None else process.instance,
+            state=self.parts.lifecycle.state,
+            in_flight=admission.in_flight,
+            queued=admission.queued,
+            limit=admission.limit.current(),
+            service_ms=admission.service_time.current_ms(),
+        )
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -36,7 +36,7 @@
 )
 from bergamotmount.forwarding.placement import Placement
 from bergamotmount.forwarding.policysource import Parser, RoutePolicySource
-from bergamotmount.forwarding.retrybudget import RetryBudget
+from bergamotmount.forwarding.retrybudget import RetryTerms, ServiceRetries
 from bergamotmount.forwarding.runs import RunsInHand
 from bergamotmount.forwarding.store import KeyedStore
 from bergamotmount.heartbeats import Heartbeats, HeartbeatTimes
@@ -77,14 +77,6 @@
 _log = part_logger('node')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryTerms:
-    """Bound on repeats of a service: a share of its requests in a window."""
-
-    ratio: float
-    window_ms: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopTimes:
     """Timing of a planned stop, in milliseconds.
@@ -204,6 +196,7 @@
             await clock.sleep(STOP_CHECK_MS)
         self.heartbeats.spread(self.members.announce(MemberState.LEFT))
         self.heartbeats.send_last_news()
+        await self._withdraw()
         await clock.sleep(LEAVE_NOTICE_MS)
         self.close()
 
@@ -269,6 +262,13 @@
         process = self.gateway.process
         return self.options.service if process is None else process.service
 
+    async def _withdraw(self) -> None:
+        try:
+            async with self.ports.clock.timeout(WITHDRAW_MS):
+                await self.directory.withdraw()
+        except TimeoutError:
+            _log.info('Own address not removed: the store is slow.')
+
     def _build_roles(self) -> None:
         clock, rng = self.ports.clock, self.ports.rng
         counters = self.ports.counters
@@ -310,7 +310,7 @@
                 self._table,
                 self.call,
                 self.own_service,
-                self._new_budget,
+                self._new_retries,
             ),
             self.options.names,
             counters,
@@ -335,9 +335,8 @@
     def _table(self):
         return self.policy.table
 
-    def _new_budget(self) -> RetryBudget:
-        retry = self.options.retry
-        return RetryBudget(self.ports.clock, retry.ratio, retry.window_ms)
+    def _new_retries(self) -> ServiceRetries:
+        return ServiceRetries(self.ports.clock, self.options.retry)
 
     def _on_policy(self) -> None:
         policy = self.policy.table.policy
--- a/bergamotmount/forwarding/placement.py
+++ b/bergamotmount/forwarding/placement.py
@@ -28,10 +28,10 @@
 FAR_SAMPLE = 3
 
 #: Weight of one more answer in the share of failed ones.
-FAILURE_WEIGHT = 0.08
+FAILURE_WEIGHT = 0.15
 
 #: Time over which a share of failures fades by half without new answers.
-FAILURE_HALF_LIFE_MS = 2000
+FAILURE_HALF_LIFE_MS = 4000
 
 #: Age at which a report of a service time no longer counts.
 SERVICE_TIME_LIFE_MS = 5000
--- a/bergamotmount/forwarding/retrybudget.py
+++ b/bergamotmount/forwarding/retrybudget.py
@@ -4,11 +4,13 @@
 each request once; the service then gets twice its load just when it can least
 bear it. Each node may repeat a share of what it sent itself, so the sum over
 any set of nodes, cut off or not, stays within the same share of the whole.
-The share is divided by the depth of the graph, as a repeated request also
-repeats its calls below.
+A request that may have run repeats its calls below as well, at every level of
+the graph. Such repeats get a small share of their own; those of requests that
+a server refused without running them get a larger one.
 """
 
 import collections
+import dataclasses
 
 from bergamotmount.clock import Clock
 
@@ -16,8 +18,39 @@
 SLICES = 10
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryTerms:
+    """Bound on repeats to a service: shares of its requests in a window.
+
+    ``refused_ratio`` is for requests that were refused without running,
+    ``lost_ratio`` for those that may have run.
+    """
+
+    refused_ratio: float
+    lost_ratio: float
+    window_ms: float
+
+
+class ServiceRetries:
+    """Both budgets of one node for one service."""
+
+    def __init__(self, clock: Clock, terms: RetryTerms) -> None:
+        """Start with nothing sent."""
+        self._refused = RetryBudget(clock, terms.refused_ratio, terms.window_ms)
+        self._lost = RetryBudget(clock, terms.lost_ratio, terms.window_ms)
+
+    def sent(self) -> None:
+        """Count a first send."""
+        self._refused.sent()
+        self._lost.sent()
+
+    def take(self, may_have_run: bool) -> bool:
+        """Spend one repeat; return whether the budget allowed it."""
+        return self._lost.take() if may_have_run else self._refused.take()
+
+
 class RetryBudget:
-    """Repeats of one node to one service.
+    """Repeats of one kind, of one node to one service.
 
     ::
 
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -17,9 +17,9 @@
     ForwardingNode,
     ForwardingOptions,
     ForwardingPorts,
-    RetryTerms,
     StopTimes,
 )
+from bergamotmount.forwarding.retrybudget import RetryTerms
 from bergamotmount.incarnation import new_incarnation
 from bergamotmount.log import part_logger, start_logging
 from bergamotmount.member import Member
@@ -46,8 +46,10 @@
 #: Announcements that a server may miss before it counts as gone.
 MISSED_BEATS = 3
 
-#: Depth of the graph that the retry ratio is shared out over.
-RETRY_DEPTH = 5
+#: Parts of the retry ratio for requests that were refused without running,
+#: and for those that may have run, which repeat at every level of the graph.
+REFUSED_SHARE = 0.5
+LOST_SHARE = 0.1
 
 #: Time for which a stopping node still serves callers.
 STOP_NOTICE_MS = 2500
@@ -178,7 +180,8 @@
         service=settings.service,
         lease_ms=settings.beat_ms * MISSED_BEATS,
         retry=RetryTerms(
-            settings.retry_ratio / RETRY_DEPTH,
+            settings.retry_ratio * REFUSED_SHARE,
+            settings.retry_ratio * LOST_SHARE,
             settings.retry_window_ms,
         ),
         stop=StopTimes(STOP_NOTICE_MS, settings.stop_ms - STOP_SPARE_MS),
--- a/bergamotmount/tests/forwardworld.py
+++ b/bergamotmount/tests/forwardworld.py
@@ -20,10 +20,10 @@
     ForwardingNode,
     ForwardingOptions,
     ForwardingPorts,
-    RetryTerms,
     StopTimes,
 )
 from bergamotmount.forwarding.policysource import PolicyError
+from bergamotmount.forwarding.retrybudget import RetryTerms
 from bergamotmount.forwarding.routetable import RoutePolicy
 from bergamotmount.forwarding.store import StorePage
 from bergamotmount.member import Member
@@ -212,7 +212,7 @@
             ForwardingOptions(
                 service=self.service,
                 lease_ms=4500,
-                retry=RetryTerms(0.04, 10_000),
+                retry=RetryTerms(0.04, 0.04, 10_000),
                 stop=StopTimes(2500, 5300),
             ),
             ForwardingPorts(
--- a/bergamotmount/tests/test_codec.py
+++ b/bergamotmount/tests/test_codec.py
@@ -126,8 +126,9 @@
 
     def test_truncated_frames(self):
         frame = pack_frame(3, b'payload')
-        for length in range(1, len(frame)):
-            self.assert_reason(frame[:length], DropReason.FRAME_TRUNCATED)
+        while len(frame) > 1:
+            frame = frame[:-1]
+            self.assert_reason(frame, DropReason.FRAME_TRUNCATED)
 
     def test_changed_bits(self):
         frame = pack_frame(3, b'payload')
--- a/bergamotmount/tests/test_forwarding.py
+++ b/bergamotmount/tests/test_forwarding.py
@@ -295,6 +295,7 @@
         self.assertEqual(len(server.seen), 1)
         self.assertEqual((await task).status, 200)
         await stopping
+        self.assertEqual(world.store.address_by_node['a1'], '')
         world.close()
 
 
@@ -312,3 +313,16 @@
             self.assertLessEqual(server.most_running, 15)
             self.assertGreaterEqual(server.most_running, 14)
         world.close()
+
+    async def test_a_broken_server_keeps_its_limit(self):
+        world = await make_forward_world()
+        near = world.host_by_name['a1']
+        near.server.behaviour = near.server.shed
+        host = world.host_by_name['b1']
+        for _ in range(40):
+            await host.send()
+            await asyncio.sleep(0.05)
+        self.assertEqual(near.node.admission.limit.current(), 15)
+        shed = len(near.server.seen)
+        self.assertLess(shed, 20)
+        world.close()
--- /dev/null
+++ b/bergamotmount/tests/test_platform.py
@@ -0,0 +1,313 @@
+"""Tests of the adapter: what the platform says, in the product's types."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import random
+import unittest
+
+from bergamotmount.clock import Clock, LoopClock
+from bergamotmount.forwarding.http import HttpRequest
+from bergamotmount.forwarding.httpserver import (
+    HttpLimits,
+    HttpServer,
+    Origin,
+    Reply,
+)
+from bergamotmount.forwarding.policysource import PolicyError
+from bergamotmount.forwarding.store import OvertakenError
+from bergamotmount.platform import names
+from bergamotmount.platform.control import ControlServer
+from bergamotmount.platform.manifest import parse_manifest
+from bergamotmount.platform.settings import parse_platform_settings
+from bergamotmount.platform.store import PlatformStore
+from bergamotmount.ports import LogError
+from bergamotmount.settingserror import SettingsError
+from bergamotmount.tests.forwardworld import ForwardWorld
+from bergamotmount.tests.test_routetable import policy
+from bergamotmount.tests.virtualtime import VirtualTestCase
+
+SETTINGS = """\
+local_node.node_name=n-1
+local_node.ip=10.1.0.8
+local_node.region=r
+local_node.zone=fd-1
+local_node.service=a
+local_node.app_addr=10.1.0.8:8301
+network.listen_addrs.outbound=10.1.0.8:8304
+network.listen_addrs.ready=10.1.0.8:8302
+network.listen_addrs.control=10.1.0.8:8306
+network.port_range=7620,7635
+platform.heartbeat_s=1.5
+platform.platform.address=10.200.1.7:8309
+terms.bounds.grace_s=6
+terms.bounds.retry_budget_ratio=0.2
+terms.bounds.budget_window_s=10
+terms.something.new=1
+"""
+
+MANIFEST = {
+    'version': '0000001c',
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'Shop.example',
+            'path_prefix': '/a/',
+            'route_type': 'non_idempotent',
+            'timeout_s': 1.2,
+            'target_latency_s': 0.5,
+            'priority': 2,
+            'service': 'a',
+            'max_attempts': 2,
+        },
+        {
+            'name': 'r-2',
+            'host': 'shop.example',
+            'path_prefix': '/b/',
+            'route_type': 'safe',
+            'timeout_s': 1,
+            'max_attempts': 3,
+            'traffic_split': [
+                {'service': 'a', 'weight': 90},
+                {'service': 'b', 'weight': 10},
+            ],
+        },
+    ],
+    'services': [{'name': 'a', 'health_path': '/h', 'max_connections': 9}],
+    'limits': {
+        'max_header_bytes': 1000,
+        'max_body_bytes': 2000,
+        'header_timeout_s': 3,
+        'idle_timeout_s': 15,
+    },
+}
+
+
+class SettingsTest(unittest.TestCase):
+    """Known fields are checked together, unknown ones ignored."""
+
+    def test_a_whole_file(self):
+        settings = parse_platform_settings(SETTINGS.splitlines())
+        self.assertEqual(settings.peer_address, '10.1.0.8:7620')
+        self.assertEqual(settings.metrics_address, '10.1.0.8:7621')
+        self.assertEqual(settings.beat_ms, 1500)
+        self.assertEqual(settings.failure_domain, 'fd-1')
+
+    def test_all_faults_are_reported(self):
+        text = SETTINGS.replace('=1.5', '=soon').replace('7620,7635', '7620')
+        text = text.replace('local_node.ip=10.1.0.8\n', '')
+        with self.assertRaises(SettingsError) as caught:
+            parse_platform_settings(text.splitlines())
+        named = {line.partition(':')[0] for line in caught.exception.problems}
+        self.assertEqual(
+            named,
+            {'local_node.ip', 'platform.heartbeat_s', 'network.port_range'},
+        )
+
+
+class ManifestTest(unittest.TestCase):
+    """A record becomes a policy in milliseconds, or an error."""
+
+    def test_routes(self):
+        found = parse_manifest(json.dumps(MANIFEST).encode())
+        self.assertEqual(found.version, 28)
+        first, second = found.routes
+        self.assertFalse(first.is_idempotent)
+        self.assertEqual((first.host, first.timeout_ms), ('shop.example', 1200))
+        self.assertEqual([part.weight for part in second.parts], [90, 10])
+        self.assertTrue(second.is_idempotent)
+        self.assertEqual(found.limits.header_timeout_ms, 3000)
+
+    def test_records_that_are_none(self):
+        broken = [
+            b'',
+            b'{',
+            b'[]',
+            json.dumps({**MANIFEST, 'version': 'x'}).encode(),
+            json.dumps({**MANIFEST, 'routes': [{}]}).encode(),
+        ]
+        for record in broken:
+            with self.subTest(record), self.assertRaises(PolicyError):
+                parse_manifest(record)
+
+    def test_any_changed_byte_is_a_policy_or_an_error(self):
+        rng = random.Random(8)
+        record = json.dumps(MANIFEST).encode()
+        for _ in range(500):
+            changed = bytearray(record)
+            changed[rng.randrange(len(changed))] = rng.randrange(256)
+            with contextlib.suppress(PolicyError):
+                parse_manifest(bytes(changed))
+
+
+class ControlTest(VirtualTestCase):
+    """Announcements are checked before they change anything."""
+
+    async def make(self) -> None:
+        self.world = ForwardWorld()
+        self.world.store.publish(policy())
+        self.host = self.world.add('a1', 'a')
+        self.host.is_renewing = False
+        self.control = ControlServer(self.host.node, 'a1:80')
+
+    async def put(self, changes: dict | None = None, **status) -> int:
+        body = {
+            'address': 'a1:80',
+            'born': 100,
+            'info': {'service': 'a', 'slots': 4},
+            'status': {'state': 'ready', 'sequence': 1, **status},
+            **(changes or {}),
+        }
+        reply = await self.control.handle_control(
+            HttpRequest(
+                'PUT',
+                f'{names.INSTANCES_PATH}i-1',
+                [],
+                json.dumps(body).encode(),
+            ),
+            Origin(''),
+        )
+        return reply.status
+
+    async def test_ready_draining_and_gone(self):
+        await self.make()
+        self.assertEqual(await self.put(), 200)
+        self.assertTrue(self.host.node.lifecycle.is_accepting)
+        self.assertEqual(await self.put(state='draining', sequence=2), 200)
+        self.assertFalse(self.host.node.lifecycle.is_accepting)
+        self.world.close()
+
+    async def test_a_departure(self):
+        await self.make()
+        await self.put()
+        reply = await self.control.handle_control(
+            HttpRequest('DELETE', f'{names.INSTANCES_PATH}i-1', []),
+            Origin(''),
+        )
+        self.assertEqual(reply.status, 200)
+        self.assertFalse(self.host.node.lifecycle.is_accepting)
+        self.world.close()
+
+    async def test_what_names_no_server(self):
+        await self.make()
+        await self.put()
+        for changes in (
+            {'address': 'b1:80'},
+            {'address': 7},
+            {'info': {'service': 'a', 'slots': 0}},
+            {'info': {'slots': 4}},
+            {'born': 'yesterday'},
+            {'status': {'state': 'asleep', 'sequence': 5}},
+            {'status': {'state': 'ready', 'sequence': 'x'}},
+        ):
+            with self.subTest(changes):
+                self.assertEqual(await self.put(changes), 400)
+                self.assertTrue(self.host.node.lifecycle.is_accepting)
+        self.world.close()
+
+    async def test_readiness_waits_for_a_policy(self):
+        await self.make()
+        request = HttpRequest('GET', names.READY_PATH, [])
+        reply = await self.control.handle_ready(request, Origin(''))
+        self.assertEqual(reply.status, 503)
+        await asyncio.sleep(1)
+        reply = await self.control.handle_ready(request, Origin(''))
+        self.assertEqual(reply.status, 200)
+        self.world.close()
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """The one client of the store, against a stand-in of its protocol."""
+
+    async def asyncSetUp(self):
+        self.replies: list[Reply] = []
+        self.requests: list[HttpRequest] = []
+        self.server = HttpServer(
+            LoopClock(),
+            self.answer,
+            HttpLimits(),
+            self.fail,
+        )
+        await self.server.start('127.0.0.1:0')
+        port = self.server._server.sockets[0].getsockname()[1]
+        self.store = PlatformStore(Clock(), f'127.0.0.1:{port}')
+
+    async def asyncTearDown(self):
+        self.server.close()
+
+    async def answer(self, request: HttpRequest, _) -> Reply:
+        self.requests.append(request)
+        return self.replies.pop(0)
+
+    def reply(self, document: dict, status: int = 200) -> None:
+        self.replies.append(Reply(status, [], json.dumps(document).encode()))
+
+    async def test_the_newest_policy(self):
+        packed = base64.b64encode(b'policy').decode()
+        self.reply(
+            {
+                'items': [
+                    {'key': 'other', 'value': '', 'offset': 1},
+                    {'key': 'config', 'value': packed, 'offset': 4},
+                ],
+                'has_more': False,
+                'end_offset': 6,
+            },
+        )
+        page = await self.store.newest_policy()
+        self.assertEqual((page.records, page.next_offset), ([b'policy'], 6))
+
+    async def test_following(self):
+        records = [b'\x06configone', b'\x05otherx', b'\x06configtwo']
+        packed = b''.join(
+            len(record).to_bytes(4) + record for record in records
+        )
+        head = (9).to_bytes(8) + (0).to_bytes(8)
+        self.replies.append(Reply(200, [], head + packed))
+        page = await self.store.follow_policy(6, 100)
+        self.assertEqual(page.records, [b'one', b'two'])
+        self.assertEqual(page.next_offset, 9)
+        self.assertIn('from=6', self.requests[0].target)
+
+    async def test_addresses_over_pages(self):
+        for key, has_more in (('a', True), ('b', False)):
+            packed = base64.b64encode(f'{key}:1'.encode()).decode()
+            self.reply(
+                {
+                    'items': [{'key': key, 'value': packed, 'offset': 1}],
+                    'has_more': has_more,
+                    'end_offset': 2,
+                },
+            )
+        self.assertEqual(await self.store.addresses(), ['a:1', 'b:1'])
+        self.assertIn('after=a', self.requests[1].target)
+
+    async def test_what_is_no_answer_is_an_error(self):
+        self.replies.append(Reply(410, [], b'{"first": 3}'))
+        with self.assertRaises(OvertakenError):
+            await self.store.follow_policy(1, 0)
+        for reply in (
+            Reply(429),
+            Reply(503),
+            Reply(200, [], b'no page'),
+        ):
+            self.replies.append(reply)
+            with self.assertRaises(LogError):
+                await self.store.follow_policy(1, 0)
+        self.replies.append(Reply(200, [], b'[]'))
+        with self.assertRaises(LogError):
+            await self.store.newest_policy()
+
+    async def test_an_address_that_is_left(self):
+        self.reply({'offset': 0, 'end_offset': 1})
+        await self.store.leave_address('n-1', '10.0.0.1:7620')
+        self.assertEqual(
+            self.requests[0].body,
+            (17).to_bytes(4) + b'\x03n-110.0.0.1:7620',
+        )
+
+    async def test_nobody_answers(self):
+        store = PlatformStore(Clock(), '127.0.0.1:1')
+        with self.assertRaises(LogError):
+            await store.newest_policy()
