--- /dev/null
+++ b/bergamotmount/tools/emulator.py
@@ -0,0 +1,295 @@
+"""Emulation of one scarce service below chains of calls.
+
+Requests of three kinds come in at a rate that a scenario sets. Two of them
+lead to a chain of calls to one service, whose servers differ in speed. The
+decisions are the product's own: thresholds, admission, placement. Time is
+virtual, so a scenario runs in seconds and always gives the same result. It
+serves to compare ways of deciding; it is no copy of any deployment::
+
+    python -m bergamotmount.tools.emulator
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import math
+import random
+import sys
+from collections.abc import Callable
+
+from bergamotmount.admission import Admission
+from bergamotmount.clock import MS_PER_SECOND, LoopClock
+from bergamotmount.forwarding.placement import Placement
+from bergamotmount.limit import ConcurrencyLimit, ServiceTime
+from bergamotmount.member import Member
+from bergamotmount.membership import Members
+from bergamotmount.threshold import ThresholdController
+from bergamotmount.tools.virtualloop import run_virtual
+
+SERVICE = 'leaf'
+
+#: Mean work of a call on a server of speed 1, and its spread.
+WORK_MS = 40
+WORK_SIGMA = 0.45
+
+#: Share of busy slots from which a server slows down, and how much.
+KNEE_LOAD = 0.95
+KNEE_FACTOR = 1.3
+
+#: Time until news of a threshold reaches the entries.
+NEWS_MS = 60
+
+#: Time between the entry and the first call, and between two calls.
+FIRST_CALL_MS = (30, 300)
+NEXT_CALL_MS = (2, 10)
+
+#: Start of a scenario that isn't counted: nothing is known yet.
+UNCOUNTED_MS = 2000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of request: its share of the demand, and what it is worth."""
+
+    name: str
+    share: float
+    level: int
+    calls: int
+    worth: int
+    timeout_ms: float
+
+
+KINDS = (
+    Kind('order', 0.22, 0, 8, 3, 1000),
+    Kind('ticket', 0.17, 1, 1, 2, 700),
+    Kind('read', 0.61, 2, 8, 1, 1000),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """What happens: demand and slowness by the second, shares of sheds."""
+
+    name: str
+    rate: Callable[[float], float]
+    slowness: Callable[[float], float] = lambda _: 1
+    shed_share: Callable[[int], float] = lambda _: 0
+    speeds: tuple[float, ...] = (0.5, 1, 1, 1.5)
+    slots: int = 16
+    headroom: float = 0.06
+    seconds: float = 12
+
+
+SCENARIOS = (
+    Scenario('calm', lambda _: 150),
+    Scenario('steady', lambda _: 260),
+    Scenario('jump', lambda second: 170 if second < 4 else 340),
+    Scenario('wave', lambda second: 240 + 72 * math.sin(second / 2)),
+    Scenario(
+        'slowed',
+        lambda _: 170,
+        slowness=lambda second: 3 if 4 < second < 9 else 1,
+    ),
+    Scenario(
+        'shedding',
+        lambda _: 150,
+        shed_share=lambda server: 0.5 if server == 1 else 0,
+    ),
+)
+
+
+class EmulatedServer:
+    """One server of the scarce service, behind the product's admission."""
+
+    def __init__(self, number: int, emulation: 'Emulation') -> None:
+        """Be server ``number`` of the scenario."""
+        scenario = emulation.scenario
+        clock, rng = emulation.clock, emulation.rng
+        self.node = f'leaf-{number}'
+        self.shed_share = scenario.shed_share(number)
+        self._emulation = emulation
+        self._work_ms = WORK_MS / scenario.speeds[number]
+        limit = ConcurrencyLimit(clock, scenario.headroom)
+        limit.announce(scenario.slots)
+        service_time = ServiceTime(clock)
+        self.controller = ThresholdController(clock, limit, service_time)
+        self.admission = Admission(
+            clock,
+            limit,
+            service_time,
+            self.controller,
+            rng,
+        )
+
+    async def run(self, request: 'Request', is_repeat: bool) -> bool:
+        """Run one call; return whether it was done."""
+        refusal = await self.admission.enter(
+            request.rank,
+            request.deadline_ms,
+            is_inner=request.kind.calls > 1,
+            is_repeat=is_repeat,
+        )
+        if refusal is not None:
+            return False
+        try:
+            return await self._work()
+        finally:
+            self.admission.leave()
+
+    async def _work(self) -> bool:
+        emulation = self._emulation
+        if emulation.rng.random() < self.shed_share:
+            return False
+        busy = self.admission.in_flight / emulation.scenario.slots
+        factor = KNEE_FACTOR if busy >= KNEE_LOAD else 1
+        factor *= emulation.scenario.slowness(emulation.second)
+        factor *= emulation.rng.lognormvariate(0, WORK_SIGMA)
+        work_ms = self._work_ms * factor
+        await emulation.clock.sleep(work_ms)
+        self.admission.service_time.add(work_ms)
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One request under way."""
+
+    kind: Kind
+    rank: float
+    deadline_ms: float
+
+
+class Emulation:
+    """Runs one scenario; must be made in a running event loop."""
+
+    def __init__(self, scenario: Scenario, seed: int = 1) -> None:
+        """Draw everything from ``seed``."""
+        self.scenario = scenario
+        self.rng = random.Random(seed)
+        self.clock = LoopClock()
+        self.count_by_outcome: collections.Counter = collections.Counter()
+        own = Member('entry', 'entry', 'r', 'fd', 1)
+        members = Members(self.clock, own)
+        self._placement = Placement(self.clock, members, self.rng)
+        self._server_by_node: dict[str, EmulatedServer] = {}
+        self._former: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        for number, _ in enumerate(scenario.speeds):
+            server = EmulatedServer(number, self)
+            self._server_by_node[server.node] = server
+            members.merge(_member_of(server.node, scenario.slots))
+
+    @property
+    def second(self) -> float:
+        """Return the time in seconds."""
+        return self.clock.now_ms() / MS_PER_SECOND
+
+    async def run(self) -> None:
+        """Play the scenario to its end."""
+        tasks = []
+        while self.second < self.scenario.seconds:
+            rate = self.scenario.rate(self.second)
+            pause_ms = self.rng.expovariate(rate / MS_PER_SECOND)
+            await self.clock.sleep(pause_ms)
+            tasks.append(asyncio.create_task(self._request()))
+        await asyncio.gather(*tasks)
+
+    def share(self, outcome: str, kind: str) -> float:
+        """Return the share of a kind's requests that ended so."""
+        asked = self.count_by_outcome['asked', kind]
+        return self.count_by_outcome[outcome, kind] / max(asked, 1)
+
+    def worth(self) -> float:
+        """Return the worth that was served, as a share of that asked for."""
+        served = sum(
+            kind.worth * self.count_by_outcome['served', kind.name]
+            for kind in KINDS
+        )
+        asked = sum(
+            kind.worth * self.count_by_outcome['asked', kind.name]
+            for kind in KINDS
+        )
+        return served / asked
+
+    async def _request(self) -> None:
+        kind = self.rng.choices(KINDS, [each.share for each in KINDS])[0]
+        now_ms = self.clock.now_ms()
+        rank = kind.level + self.rng.random()
+        is_counted = now_ms >= UNCOUNTED_MS
+        outcome = 'refused'
+        if rank <= self._threshold(now_ms):
+            request = Request(kind, rank, now_ms + kind.timeout_ms)
+            outcome = 'served' if await self._calls(request) else 'failed'
+        self.count_by_outcome['asked', kind.name] += is_counted
+        self.count_by_outcome[outcome, kind.name] += is_counted
+
+    async def _calls(self, request: Request) -> bool:
+        if request.kind.calls > 1:
+            await self.clock.sleep(self.rng.uniform(*FIRST_CALL_MS))
+        for _ in range(request.kind.calls):
+            if not await self._call(request):
+                return False
+            await self.clock.sleep(self.rng.uniform(*NEXT_CALL_MS))
+        return self.clock.now_ms() <= request.deadline_ms
+
+    async def _call(self, request: Request) -> bool:
+        tried: set[str] = set()
+        while True:
+            member = self._placement.pick(SERVICE, tried)
+            if member is None:
+                return False
+            tried.add(member.node)
+            if await self._ask(member.node, request, len(tried) > 1):
+                return True
+
+    async def _ask(self, node: str, request: Request, is_repeat: bool) -> bool:
+        server = self._server_by_node[node]
+        self._placement.sent(node)
+        is_done = await server.run(request, is_repeat)
+        self._placement.returned(node)
+        admission = server.admission
+        self._placement.reported(node, admission.load_permille)
+        service_ms = admission.service_time.current_ms()
+        self._placement.served(node, service_ms, is_done)
+        return is_done
+
+    def _threshold(self, now_ms: float) -> float:
+        servers = self._server_by_node.values()
+        ranks = [server.controller.current() for server in servers]
+        self._former.append((now_ms, sum(ranks) / len(ranks)))
+        known_ms = now_ms - NEWS_MS
+        while len(self._former) > 1 and self._former[1][0] <= known_ms:
+            self._former.popleft()
+        return self._former[0][1]
+
+
+def _member_of(node: str, slots: int) -> Member:
+    return Member(node, node, 'r', 'fd', 1, service=SERVICE, slots=slots)
+
+
+async def emulate(scenario: Scenario, seed: int = 1) -> Emulation:
+    """Play a scenario and return it."""
+    emulation = Emulation(scenario, seed)
+    await emulation.run()
+    return emulation
+
+
+def main() -> None:
+    """Print a table of all scenarios."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    seed = parser.parse_args().seed
+    for scenario in SCENARIOS:
+        played = run_virtual(emulate(scenario, seed))
+        words = [f'{scenario.name:10}', f'worth {played.worth():.3f}']
+        for kind in KINDS:
+            served = played.share('served', kind.name)
+            failed = played.share('failed', kind.name)
+            words.append(f'{kind.name} {served:.3f} (failed {failed:.3f})')
+        sys.stdout.write(f'{"  ".join(words)}\n')
+
+
+if __name__ == '__main__':
+    main()
