--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -45,9 +45,6 @@
 #: Share of the remaining time that a caller is asked to wait at most.
 WAIT_SHARE = 1 / 3
 
-#: Times that one request is sent on at most, to any server.
-MAX_SENDS = 12
-
 #: Least time left in which another server is still asked.
 LEAST_RETRY_MS = 20
 
@@ -72,8 +69,7 @@
     rank: float
     is_inner: bool
     tried: set[str] = dataclasses.field(default_factory=set)
-    reached: list[str] = dataclasses.field(default_factory=list)
-    sends: int = 0
+    servers_reached: int = 0
     may_have_run: bool = False
     refusal: NotRun | None = None
     unknown: UnknownReason | None = None
@@ -113,7 +109,6 @@
         self._rng = rng
         self._attempts = itertools.count(1)
         self._retries_by_service: dict[str, ServiceRetries] = {}
-        self._retries_by_route: dict[str, ServiceRetries] = {}
         self._decisions = DecisionLog(clock, 'entry')
 
     async def handle(self, request: HttpRequest, _: Origin) -> Reply:
@@ -135,11 +130,6 @@
             return self._refused(refusal, work)
         return await self._run(work)
 
-    def retry_threshold(self, route: str) -> float:
-        """Return how far down chains through a route can be carried."""
-        retries = self._retries_by_route.get(route)
-        return OPEN_RANK if retries is None else retries.threshold()
-
     def _work_of(
         self,
         request: HttpRequest,
@@ -201,36 +191,23 @@
 
     async def _run(self, work: Work) -> Reply:
         retries = self._retries(work.service)
-        self._retries_by_route[work.route.name] = retries
         retries.sent()
         while True:
-            server = self._next_server(work)
+            server = self._parts.router.pick(work.service, work.tried)
             if server is None:
                 if work.refusal is None:
                     work.refusal = NotRun(RefusalReason.NO_SERVER)
                 return self._give_up(work)
             answered = await self._attempt(work, server)
-            if answered is not None or work.reached:
-                retries.tried()
             if answered is not None:
                 return Reply(answered.status, answered.headers, answered.body)
             if not self._may_retry(work, retries):
                 return self._give_up(work)
 
-    def _next_server(self, work: Work) -> Member | None:
-        router = self._parts.router
-        if len(set(work.reached)) < work.route.max_servers:
-            server = router.pick(work.service, work.tried)
-            if server is not None or not work.reached:
-                return server
-        # No further server may get it, but those that shed it may again.
-        return router.pick_of(work.service, work.reached)
-
     async def _attempt(self, work: Work, server: Member) -> Answered | None:
         router = self._parts.router
         call = self._call_of(work)
         work.tried.add(server.node)
-        work.sends += 1
         router.sent(server.node)
         try:
             reply = await self._parts.call(server, call)
@@ -245,7 +222,7 @@
                 self._note_refusal(work, server, refusal)
             case Answer(outcome=Unknown(reason)):
                 self._heard(work, server, reply)
-                self._note_unknown(work, server, reason)
+                self._note_unknown(work, reason)
             case NotSent():
                 router.failed(server.node)
                 self._note_refusal(
@@ -258,8 +235,7 @@
                     router.failed(server.node)
                 late = UnknownReason.ANSWER_LATE
                 lost = UnknownReason.ANSWER_LOST
-                reason = late if by_deadline else lost
-                self._note_unknown(work, server, reason)
+                self._note_unknown(work, late if by_deadline else lost)
         return None
 
     def _heard(self, work: Work, server: Member, answer: Answer) -> None:
@@ -287,17 +263,12 @@
         work.refusal = refusal
         match refusal.reason:
             case RefusalReason.SERVER_SHED:
-                work.reached.append(server.node)
+                work.servers_reached += 1
             case RefusalReason.NOT_SERVING | RefusalReason.DRAINING:
                 self._parts.router.failed(server.node)
 
-    def _note_unknown(
-        self,
-        work: Work,
-        server: Member,
-        reason: UnknownReason,
-    ) -> None:
-        work.reached.append(server.node)
+    def _note_unknown(self, work: Work, reason: UnknownReason) -> None:
+        work.servers_reached += 1
         work.may_have_run = True
         work.unknown = reason
         self._counters.unknown(_ROLE, reason)
@@ -330,8 +301,8 @@
 
     def _may_retry(self, work: Work, retries: ServiceRetries) -> bool:
         reason = self._reason_against_retry(work)
-        if reason is None and work.reached:
-            is_allowed = retries.take(work.rank, work.may_have_run)
+        if reason is None and work.servers_reached:
+            is_allowed = retries.take(work.may_have_run)
             reason = None if is_allowed else NoRetryReason.RATIO
         if reason is not None:
             self._counters.not_retried(reason)
@@ -346,9 +317,7 @@
             return NoRetryReason.NOT_IDEMPOTENT
         if work.deadline_ms - self._clock.now_ms() < LEAST_RETRY_MS:
             return NoRetryReason.DEADLINE
-        if work.may_have_run and len(work.reached) >= work.route.max_servers:
-            return NoRetryReason.NO_OTHER_SERVER
-        if work.sends >= MAX_SENDS:
+        if work.servers_reached >= work.route.max_servers:
             return NoRetryReason.NO_OTHER_SERVER
         return None
 
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -316,7 +316,6 @@
             counters,
             rng,
         )
-        self.runs.limit_of = self.entry.retry_threshold
         self.callers = HttpServer(
             clock,
             self.entry.handle,
--- a/bergamotmount/forwarding/placement.py
+++ b/bergamotmount/forwarding/placement.py
@@ -88,15 +88,6 @@
             (*near, *far), key=lambda each: self._cost_ms(each, usual_ms)
         )
 
-    def pick_of(self, service: str, nodes: Sequence[str]) -> Member | None:
-        """Return a server among these nodes, the one named last if need be."""
-        routable = self._members.routable(service)
-        by_node = {member.node: member for member in routable}
-        others = [node for node in nodes[:-1] if node in by_node]
-        if others:
-            return by_node[others[-1]]
-        return by_node.get(nodes[-1])
-
     def served(self, node: str, service_ms: float, is_good: bool) -> None:
         """Take over an answer: the server's mean time, and how it went."""
         observed = self._observed(node)
--- a/bergamotmount/forwarding/runs.py
+++ b/bergamotmount/forwarding/runs.py
@@ -20,10 +20,8 @@
 import bisect
 import dataclasses
 import random
-from collections.abc import Callable
 
 from bergamotmount.clock import Clock
-from bergamotmount.rank import OPEN_RANK
 from bergamotmount.threshold import ThresholdView
 
 #: A call expires this much before its parent at most, and after it.
@@ -84,10 +82,6 @@
     seen_ms: float
 
 
-def _no_limit(_route: str) -> float:
-    return OPEN_RANK
-
-
 class RunsInHand:
     """Runs by deadline, and the routes that runs lead to."""
 
@@ -96,14 +90,8 @@
         clock: Clock,
         view: ThresholdView,
         rng: random.Random,
-        limit_of: Callable[[str], float] = _no_limit,
     ) -> None:
-        """Hold nothing; ``view`` has the thresholds of routes.
-
-        ``limit_of`` tells how far down calls of a route can be carried
-        through from here.
-        """
-        self.limit_of = limit_of
+        """Hold nothing; ``view`` has the thresholds of routes."""
         self._clock = clock
         self._view = view
         self._rng = rng
@@ -164,11 +152,7 @@
         for name, callee in callees.items():
             is_needed = callee.calls_per_run >= LEAST_CALLS
             if is_needed and callee.seen_ms > oldest_ms:
-                threshold = min(
-                    threshold,
-                    self._view.current(name),
-                    self.limit_of(name),
-                )
+                threshold = min(threshold, self._view.current(name))
         return threshold
 
     def _run_at(self, expires_ms: float) -> Run | None:
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -48,8 +48,8 @@
 
 #: Parts of the retry ratio for requests that were refused without running,
 #: and for those that may have run, which repeat at every level of the graph.
-REFUSED_SHARE = 0.6
-LOST_SHARE = 0.06
+REFUSED_SHARE = 0.5
+LOST_SHARE = 0.1
 
 #: Time for which a stopping node still serves callers.
 STOP_NOTICE_MS = 2500
