--- a/bergamotmount/adapters/tallies.py
+++ b/bergamotmount/adapters/tallies.py
@@ -9,7 +9,10 @@
 
 from bergamotmount.counters import Counters
 from bergamotmount.forwarding.http import HttpRequest
-from bergamotmount.forwarding.httpserver import Origin, Reply
+from bergamotmount.forwarding.httpconnection import (
+    Origin,
+    Reply,
+)
 from bergamotmount.reasons import (
     DropReason,
     NoRetryReason,
--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -20,17 +20,21 @@
     flat_without,
     header_of,
 )
-from bergamotmount.forwarding.httpserver import Origin, Reply
+from bergamotmount.forwarding.httpconnection import (
+    Origin,
+    Reply,
+)
 from bergamotmount.forwarding.placement import Placement
 from bergamotmount.forwarding.retrybudget import ServiceRetries
 from bergamotmount.forwarding.routetable import Route, RouteTable, SplitPicker
 from bergamotmount.forwarding.runs import RunsInHand
+from bergamotmount.forwarding.work import Work, is_good
 from bergamotmount.member import Member
 from bergamotmount.messages import Answer, Call
-from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
+from bergamotmount.outcomes import Answered, NotRun, Unknown
 from bergamotmount.ports import Lost, NotSent
 from bergamotmount.ports import Reply as PeerReply
-from bergamotmount.rank import OPEN_RANK, rank_of
+from bergamotmount.rank import rank_of
 from bergamotmount.reasons import (
     NoRetryReason,
     RefusalReason,
@@ -51,31 +55,11 @@
 _ROLE = 'egress'
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
-_SERVER_ERROR = 500
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 
 
-@dataclasses.dataclass(slots=True)
-class Work:
-    """A request in hand and what was tried for it."""
-
-    request: HttpRequest
-    request_id: str
-    route: Route
-    service: str
-    deadline_ms: float
-    rank: float
-    is_inner: bool
-    tried: set[str] = dataclasses.field(default_factory=set)
-    servers_reached: int = 0
-    may_have_run: bool = False
-    refusal: NotRun | None = None
-    unknown: UnknownReason | None = None
-    threshold: float = OPEN_RANK
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryParts:
     """What an entry shares with the other parts of its node."""
@@ -244,7 +228,7 @@
         router.served(
             server.node,
             answer.service_ms,
-            _is_good(answer.outcome),
+            is_good(answer.outcome),
         )
         self._parts.view.hear_direct(
             work.route.name,
@@ -356,13 +340,3 @@
             retries = self._parts.new_retries()
             self._retries_by_service[service] = retries
         return retries
-
-
-def _is_good(outcome: Outcome) -> bool:
-    match outcome:
-        case Answered(status):
-            return status != _SERVER_ERROR
-        case NotRun(reason):
-            return reason is not RefusalReason.SERVER_SHED
-        case _:
-            return False
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -6,41 +6,23 @@
 """
 
 import asyncio
-import dataclasses
-import random
 
 from bergamotmount import events
 from bergamotmount.admission import Admission
-from bergamotmount.clock import Clock
-from bergamotmount.counters import Counters
-from bergamotmount.forwarding.announcements import (
-    Announcement,
-    AnnouncementOrder,
-    Verdict,
-)
 from bergamotmount.forwarding.directory import Directory
 from bergamotmount.forwarding.entry import Entry, EntryParts
-from bergamotmount.forwarding.gateway import (
-    Gateway,
-    GatewayParts,
-    ServerProcess,
-)
-from bergamotmount.forwarding.headers import HeaderNames
-from bergamotmount.forwarding.httpclient import (
-    ConnectionPool,
-    PoolFactory,
-)
-from bergamotmount.forwarding.httpserver import (
+from bergamotmount.forwarding.gateway import Gateway, GatewayParts
+from bergamotmount.forwarding.httpconnection import (
     HttpLimits,
-    HttpServer,
 )
+from bergamotmount.forwarding.httpserver import HttpServer
+from bergamotmount.forwarding.options import ForwardingOptions, ForwardingPorts
+from bergamotmount.forwarding.ownserver import OwnServer
 from bergamotmount.forwarding.placement import Placement
-from bergamotmount.forwarding.policysource import Parser, RoutePolicySource
-from bergamotmount.forwarding.retrybudget import RetryTerms, ServiceRetries
+from bergamotmount.forwarding.policysource import RoutePolicySource
+from bergamotmount.forwarding.retrybudget import ServiceRetries
 from bergamotmount.forwarding.runs import RunsInHand
-from bergamotmount.forwarding.store import KeyedStore
-from bergamotmount.heartbeats import Heartbeats, HeartbeatTimes
-from bergamotmount.lifecycle import ServerLifecycle, ServerState
+from bergamotmount.heartbeats import Heartbeats
 from bergamotmount.limit import ConcurrencyLimit, ServiceTime
 from bergamotmount.link import LinkPool
 from bergamotmount.log import part_logger
@@ -53,9 +35,9 @@
     PolicyFetch,
     PolicyState,
 )
-from bergamotmount.ports import Dialer, Lost
+from bergamotmount.ports import Lost
 from bergamotmount.ports import Reply as PeerReply
-from bergamotmount.reasons import DropReason, RefusalReason
+from bergamotmount.reasons import DropReason
 from bergamotmount.serving import PeerServer
 from bergamotmount.threshold import ThresholdController, ThresholdView
 
@@ -77,43 +59,6 @@
 _log = part_logger('node')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopTimes:
-    """Timing of a planned stop, in milliseconds.
-
-    For ``notice_ms`` callers are still served while they learn that this
-    node stops; ``longest_ms`` bounds the whole.
-    """
-
-    notice_ms: float
-    longest_ms: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ForwardingOptions:
-    """What can be set on a forwarding node."""
-
-    service: str
-    lease_ms: float
-    retry: RetryTerms
-    stop: StopTimes
-    names: HeaderNames = HeaderNames()
-    heartbeat: HeartbeatTimes = HeartbeatTimes()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ForwardingPorts:
-    """The outside of a forwarding node."""
-
-    clock: Clock
-    dialer: Dialer
-    store: KeyedStore
-    parser: Parser
-    counters: Counters
-    rng: random.Random
-    pool_factory: PoolFactory = ConnectionPool
-
-
 class ForwardingNode:
     """Everything that runs beside one backend server."""
 
@@ -154,11 +99,15 @@
             self._on_policy,
         )
         self.directory = Directory(clock, ports.store, self.members, rng)
-        self.announced = AnnouncementOrder()
-        self.lifecycle = ServerLifecycle(clock, self._on_server_state)
+        self.own_server = OwnServer(
+            clock,
+            options.lease_ms,
+            self.members,
+            self.heartbeats.spread,
+        )
         self._build_roles()
+        self.own_server.guard(self.gateway, self.admission)
         self.is_stopping = False
-        self._warm_until_ms: float = 0
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -186,7 +135,7 @@
         started_ms = clock.now_ms()
         self.is_stopping = True
         self.callers.close_gently()
-        self.lifecycle.drain()
+        self.own_server.lifecycle.drain()
         await clock.sleep(stop.notice_ms)
         self.callers.stop_listening()
         self.callers.close_idle()
@@ -207,35 +156,6 @@
         self.callers.close()
         self.links.close()
 
-    def announce(self, news: Announcement) -> Verdict:
-        """Take an announcement of the backend server beside this node."""
-        verdict = self.announced.take(news)
-        match verdict:
-            case Verdict.STALE:
-                return verdict
-            case Verdict.DRAINING:
-                self.lifecycle.drain()
-            case Verdict.STARTED:
-                self._use(news)
-            case Verdict.RENEWED:
-                self._renew(news)
-        if verdict is not Verdict.RENEWED:
-            _log.info(
-                'Server {} of {}: {}, born {}, sequence {}.',
-                news.instance,
-                news.service,
-                verdict,
-                news.born_ms,
-                news.sequence,
-            )
-        return verdict
-
-    def depart(self, instance: str) -> None:
-        """Take the backend server's word that it leaves."""
-        if self.announced.depart(instance):
-            _log.info('Server {} leaves.', instance)
-            self.lifecycle.drain()
-
     def receive(self, message: Message) -> list[Message]:
         """Take a message that is no call and return the messages to answer."""
         match message:
@@ -291,7 +211,7 @@
             clock,
             self.members.own_node,
             GatewayParts(
-                self.lifecycle,
+                self.own_server.lifecycle,
                 self.admission,
                 self.controller,
                 self.runs,
@@ -350,30 +270,6 @@
         )
         self.heartbeats.push()
 
-    def _use(self, news: Announcement) -> None:
-        self.gateway.use(
-            ServerProcess(news.instance, news.service, news.address),
-        )
-        self.admission.limit.announce(news.slots, news.cold_ms)
-        self._warm_until_ms = self.ports.clock.now_ms() + news.cold_ms
-        self._renew_lease()
-        member = self.members.announce(
-            MemberState.WARMING,
-            news.service,
-            news.slots,
-        )
-        self.heartbeats.spread(member)
-        self.lifecycle.announce()
-        self.admission.admit_waiting()
-
-    def _renew(self, news: Announcement) -> None:
-        if self.lifecycle.state is ServerState.ABSENT:
-            self._use(news)
-        self._renew_lease()
-
-    def _renew_lease(self) -> None:
-        self.lifecycle.renew(self.options.lease_ms)
-
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> list[Message]:
         replies: list[Message] = list(self.heartbeats.take(heartbeat))
         if heartbeat.members:
@@ -395,22 +291,6 @@
         heartbeat.thresholds = self.view.closed()
         heartbeat.load_permille = self.admission.load_permille
 
-    def _on_server_state(self, state: ServerState) -> None:
-        _log.info('Server state: {}.', state)
-        match state:
-            case ServerState.SERVING:
-                self._announce(MemberState.SERVING)
-            case ServerState.DRAINING:
-                self.admission.refuse_waiting(RefusalReason.DRAINING)
-                self._announce(MemberState.DRAINING)
-            case ServerState.ABSENT:
-                self.admission.refuse_waiting(RefusalReason.NOT_SERVING)
-                self._announce(MemberState.DRAINING)
-
-    def _announce(self, state: MemberState) -> None:
-        slots = self.admission.limit.slots
-        self.heartbeats.spread(self.members.announce(state, slots=slots))
-
     def _on_member_changed(self, _sender: object, member: Member) -> None:
         _log.info(
             'Member {} is {}, incarnation {}, version {}.',
@@ -425,19 +305,11 @@
     async def _check_regularly(self) -> None:
         while True:
             await self.ports.clock.sleep(CHECK_MS)
-            self.lifecycle.check_lease()
-            self._end_warming()
-            self.admission.admit_waiting()
+            self.own_server.check()
             self.links.close_idle()
             self.gateway.close_idle()
             self.callers.check_timeouts()
 
-    def _end_warming(self) -> None:
-        if self.lifecycle.state is not ServerState.WARMING:
-            return
-        if self.ports.clock.now_ms() >= self._warm_until_ms:
-            self.lifecycle.warmed()
-
     def _is_busy(self) -> bool:
         return bool(
             self.callers.requests_open
--- a/bergamotmount/platform/control.py
+++ b/bergamotmount/platform/control.py
@@ -4,7 +4,10 @@
 
 from bergamotmount.forwarding.announcements import Announcement
 from bergamotmount.forwarding.http import HttpRequest
-from bergamotmount.forwarding.httpserver import Origin, Reply
+from bergamotmount.forwarding.httpconnection import (
+    Origin,
+    Reply,
+)
 from bergamotmount.forwarding.node import ForwardingNode
 from bergamotmount.log import part_logger
 from bergamotmount.platform import names
@@ -64,7 +67,7 @@
             case 'PUT':
                 return self._announce(instance, request.body)
             case 'DELETE':
-                self._node.depart(instance)
+                self._node.own_server.depart(instance)
                 return Reply(_OK, list(_JSON), b'{}')
         return Reply(_NOT_FOUND)
 
@@ -76,7 +79,7 @@
         problem = self._problem(beat)
         if problem:
             return self._refuse(instance, problem)
-        self._node.announce(
+        self._node.own_server.announce(
             Announcement(
                 instance=instance,
                 born_ms=beat.born,
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -12,9 +12,13 @@
 
 from bergamotmount.adapters.tallies import Tallies
 from bergamotmount.clock import Clock
-from bergamotmount.forwarding.httpserver import Handler, HttpLimits, HttpServer
-from bergamotmount.forwarding.node import (
-    ForwardingNode,
+from bergamotmount.forwarding.httpconnection import (
+    Handler,
+    HttpLimits,
+)
+from bergamotmount.forwarding.httpserver import HttpServer
+from bergamotmount.forwarding.node import ForwardingNode
+from bergamotmount.forwarding.options import (
     ForwardingOptions,
     ForwardingPorts,
     StopTimes,
@@ -24,8 +28,8 @@
 from bergamotmount.log import part_logger, start_logging
 from bergamotmount.member import Member
 from bergamotmount.platform.control import ControlServer
-from bergamotmount.platform.manifest import parse_manifest
 from bergamotmount.platform.names import HEADERS
+from bergamotmount.platform.policyrecord import parse_record
 from bergamotmount.platform.settings import (
     PlatformSettings,
     read_platform_settings,
@@ -57,9 +61,6 @@
 #: Time kept free before the process is killed.
 STOP_SPARE_MS = 700
 
-#: How often the settings file is looked at for changes.
-SETTINGS_CHECK_MS = 2000
-
 _log = part_logger('daemon')
 
 
@@ -96,7 +97,7 @@
             clock,
             TcpDialer(self._tallies, self._is_far),
             PlatformStore(clock, settings.store_address),
-            parse_manifest,
+            parse_record,
             self._tallies,
             rng,
         )
--- a/bergamotmount/platform/manifest.py
+++ b/bergamotmount/platform/policyrecord.py
@@ -47,17 +47,17 @@
     idle_timeout_s: float
 
 
-class _WireManifest(msgspec.Struct):
+class _WireRecord(msgspec.Struct):
     version: str
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits
 
 
-_decoder = msgspec.json.Decoder(_WireManifest)
+_decoder = msgspec.json.Decoder(_WireRecord)
 
 
-def parse_manifest(record: bytes) -> RoutePolicy:
+def parse_record(record: bytes) -> RoutePolicy:
     """Return the policy in a record; raise :class:`PolicyError`."""
     try:
         wire = _decoder.decode(record)
--- a/bergamotmount/tests/forwardworld.py
+++ b/bergamotmount/tests/forwardworld.py
@@ -15,9 +15,12 @@
     header_of,
 )
 from bergamotmount.forwarding.httpclient import BrokenError, NotConnectedError
-from bergamotmount.forwarding.httpserver import Origin, Reply
-from bergamotmount.forwarding.node import (
-    ForwardingNode,
+from bergamotmount.forwarding.httpconnection import (
+    Origin,
+    Reply,
+)
+from bergamotmount.forwarding.node import ForwardingNode
+from bergamotmount.forwarding.options import (
     ForwardingOptions,
     ForwardingPorts,
     StopTimes,
@@ -237,7 +240,7 @@
         terms = {'is_draining': False, 'cold_ms': 0, **changes}
         self.sequence = sequence or self.sequence + 1
         self.born = born
-        self.node.announce(
+        self.node.own_server.announce(
             Announcement(
                 instance=f'i-{self.name}',
                 born_ms=born,
--- a/bergamotmount/tests/test_forwarding.py
+++ b/bergamotmount/tests/test_forwarding.py
@@ -169,7 +169,7 @@
         self.assertEqual(len(near.server.seen), 1)
         near.announce()
         await asyncio.sleep(0.1)
-        self.assertTrue(near.node.lifecycle.is_accepting)
+        self.assertTrue(near.node.own_server.lifecycle.is_accepting)
         world.close()
 
     async def test_a_restarted_node_serves_after_an_announcement(self):
@@ -215,7 +215,7 @@
     async def test_without_any_server_it_is_refused(self):
         world = await make_forward_world()
         for name in ('a1', 'a2'):
-            world.host_by_name[name].node.depart(f'i-{name}')
+            world.host_by_name[name].node.own_server.depart(f'i-{name}')
         await asyncio.sleep(0.1)
         reply = await world.host_by_name['b1'].send('/buy/1', 'POST')
         self.assertEqual(reply.status, 503)
--- a/bergamotmount/tests/test_httpserver.py
+++ b/bergamotmount/tests/test_httpserver.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from bergamotmount.clock import LoopClock
-from bergamotmount.forwarding.httpserver import (
+from bergamotmount.forwarding.httpconnection import (
     Connection,
     HttpLimits,
-    HttpServer,
     Reply,
 )
+from bergamotmount.forwarding.httpserver import HttpServer
 from bergamotmount.tests.faketransport import FakeTransport
 from bergamotmount.tests.virtualtime import VirtualTestCase
 
--- a/bergamotmount/tests/test_platform.py
+++ b/bergamotmount/tests/test_platform.py
@@ -9,17 +9,17 @@
 
 from bergamotmount.clock import Clock, LoopClock
 from bergamotmount.forwarding.http import HttpRequest
-from bergamotmount.forwarding.httpserver import (
+from bergamotmount.forwarding.httpconnection import (
     HttpLimits,
-    HttpServer,
     Origin,
     Reply,
 )
+from bergamotmount.forwarding.httpserver import HttpServer
 from bergamotmount.forwarding.policysource import PolicyError
 from bergamotmount.forwarding.store import OvertakenError
 from bergamotmount.platform import names
 from bergamotmount.platform.control import ControlServer
-from bergamotmount.platform.manifest import parse_manifest
+from bergamotmount.platform.policyrecord import parse_record
 from bergamotmount.platform.settings import parse_platform_settings
 from bergamotmount.platform.store import PlatformStore
 from bergamotmount.ports import LogError
@@ -47,7 +47,7 @@
 terms.something.new=1
 """
 
-MANIFEST = {
+RECORD = {
     'version': '0000001c',
     'routes': [
         {
@@ -106,11 +106,11 @@
         )
 
 
-class ManifestTest(unittest.TestCase):
+class PolicyRecordTest(unittest.TestCase):
     """A record becomes a policy in milliseconds, or an error."""
 
     def test_routes(self):
-        found = parse_manifest(json.dumps(MANIFEST).encode())
+        found = parse_record(json.dumps(RECORD).encode())
         self.assertEqual(found.version, 28)
         first, second = found.routes
         self.assertFalse(first.is_idempotent)
@@ -124,21 +124,21 @@
             b'',
             b'{',
             b'[]',
-            json.dumps({**MANIFEST, 'version': 'x'}).encode(),
-            json.dumps({**MANIFEST, 'routes': [{}]}).encode(),
+            json.dumps({**RECORD, 'version': 'x'}).encode(),
+            json.dumps({**RECORD, 'routes': [{}]}).encode(),
         ]
         for record in broken:
             with self.subTest(record), self.assertRaises(PolicyError):
-                parse_manifest(record)
+                parse_record(record)
 
     def test_any_changed_byte_is_a_policy_or_an_error(self):
         rng = random.Random(8)
-        record = json.dumps(MANIFEST).encode()
+        record = json.dumps(RECORD).encode()
         for _ in range(500):
             changed = bytearray(record)
             changed[rng.randrange(len(changed))] = rng.randrange(256)
             with contextlib.suppress(PolicyError):
-                parse_manifest(bytes(changed))
+                parse_record(bytes(changed))
 
 
 class ControlTest(VirtualTestCase):
@@ -173,9 +173,9 @@
     async def test_ready_draining_and_gone(self):
         await self.make()
         self.assertEqual(await self.put(), 200)
-        self.assertTrue(self.host.node.lifecycle.is_accepting)
+        self.assertTrue(self.host.node.own_server.lifecycle.is_accepting)
         self.assertEqual(await self.put(state='draining', sequence=2), 200)
-        self.assertFalse(self.host.node.lifecycle.is_accepting)
+        self.assertFalse(self.host.node.own_server.lifecycle.is_accepting)
         self.world.close()
 
     async def test_a_departure(self):
@@ -186,7 +186,7 @@
             Origin(''),
         )
         self.assertEqual(reply.status, 200)
-        self.assertFalse(self.host.node.lifecycle.is_accepting)
+        self.assertFalse(self.host.node.own_server.lifecycle.is_accepting)
         self.world.close()
 
     async def test_what_names_no_server(self):
@@ -203,7 +203,9 @@
         ):
             with self.subTest(changes):
                 self.assertEqual(await self.put(changes), 400)
-                self.assertTrue(self.host.node.lifecycle.is_accepting)
+                self.assertTrue(
+                    self.host.node.own_server.lifecycle.is_accepting
+                )
         self.world.close()
 
     async def test_readiness_waits_for_a_policy(self):
