Work thresholds out from the whole demand of a service, by what routes need

The threshold corrected itself by the load it saw: a cycle of 4 to 6 s, refusals between 76 and 253 in 2 s. 2. A route's threshold came with its own answers, about one a second and server, and faded upwards in between: at the entry 2.4 to 3.3 while the scarce service said 2.4. Each server's own threshold was averaged, open ones at 4. 3. Calls of the least important went before new requests of the more important: half of the tickets were refused. Now: an arrival carries the threshold that let its root in, so it stands for the inverse of the open share; demand by level and what a server can finish travel on answers, and callers add up all servers of a service. Answers name the services below a route (needs); an entry compares with these, as the product's other path does with declared needs. Queues go by level, begun work first within one. Next: servers that all shed, and requests refused again.

--- a/bergamotmount/admission.py
+++ b/bergamotmount/admission.py
@@ -20,15 +20,12 @@
 
 from bergamotmount.clock import Clock
 from bergamotmount.limit import ConcurrencyLimit, ServiceTime
-from bergamotmount.rank import LEVELS
+from bergamotmount.rank import OPEN_RANK
 from bergamotmount.reasons import RefusalReason
 from bergamotmount.threshold import ThresholdController
 
 #: Queue places for each slot of the limit.
-QUEUE_PER_SLOT = 1
-
-#: The same for calls of requests that have already begun.
-INNER_QUEUE_PER_SLOT = 3
+QUEUE_PER_SLOT = 3
 
 #: Least number of queue places.
 MIN_QUEUE = 8
@@ -87,18 +84,21 @@
         deadline_ms: float,
         is_inner: bool = False,
         is_repeat: bool = False,
+        entry_threshold: float = OPEN_RANK,
     ) -> RefusalReason | None:
         """Wait for a place; return ``None`` when admitted, else the reason.
 
         ``deadline_ms`` is on this admission's clock. With ``is_inner`` the
         request belongs to work that has already begun, and goes before all
-        that has not. With ``is_repeat`` another server refused it before, so
-        it is no new demand. Whoever is admitted calls :meth:`leave` once. A
-        task cancelled while it waits leaves the queue by itself.
+        of its level that has not. With ``is_repeat`` another server refused
+        it before, so it is no new demand. ``entry_threshold`` is the rank up
+        to which its entry let requests in. Whoever is admitted calls
+        :meth:`leave` once. A task cancelled while it waits leaves the queue
+        by itself.
         """
         if not is_repeat:
-            self._controller.arrived(rank, self._load())
-        order = rank - LEVELS if is_inner else rank
+            self._controller.arrived(rank, self._load(), entry_threshold)
+        order = _order_of(rank, is_inner)
         limit = self.limit.current()
         if not limit:
             return RefusalReason.NOT_SERVING
@@ -183,7 +183,7 @@
             self.leave()
 
     def _make_room(self, order: float) -> bool:
-        if len(self._waiters) < self._queue_bound(order):
+        if len(self._waiters) < self._queue_bound():
             return True
         last = self._waiters[-1]
         if last.order <= order:
@@ -208,15 +208,21 @@
             finish_ms += ahead * service_ms / max(self.limit.current(), 1)
         return finish_ms < deadline_ms
 
-    def _queue_bound(self, order: float) -> int:
-        per_slot = INNER_QUEUE_PER_SLOT if order < 0 else QUEUE_PER_SLOT
-        return max(MIN_QUEUE, int(self.limit.current() * per_slot))
+    def _queue_bound(self) -> int:
+        return max(MIN_QUEUE, self.limit.current() * QUEUE_PER_SLOT)
 
     def _load(self) -> float:
         work = self.in_flight + len(self._waiters)
         return work / max(self.limit.current(), 1)
 
 
+def _order_of(rank: float, is_inner: bool) -> float:
+    """Return the order in the queue: by level, begun work first in each."""
+    level = int(rank)
+    within = (rank - level) / 2
+    return level + within if is_inner else level + 0.5 + within
+
+
 def _was_admitted(admitted: asyncio.Future) -> bool:
     return (
         admitted.done()
--- a/bergamotmount/attempts.py
+++ b/bergamotmount/attempts.py
@@ -29,7 +29,7 @@
 from bergamotmount.request import Request
 from bergamotmount.retry import RetryRatio, backoff_ms
 from bergamotmount.routing import Router
-from bergamotmount.threshold import ThresholdView
+from bergamotmount.thresholdview import ThresholdView
 from bergamotmount.ticketissuer import TicketIssuer
 
 
@@ -162,6 +162,7 @@
             ticket=attempts.ticket,
             idempotent=context.idempotent,
             depth=context.depth,
+            entry_threshold=context.entry_threshold,
         )
 
     def _judge(
@@ -304,11 +305,10 @@
 
     def _hear(self, server: Member, answer: Answer) -> None:
         self._parts.router.reported(server.node, answer.load_permille)
-        self._parts.view.hear_direct(
-            server.service, server.node, answer.threshold
-        )
+        view = self._parts.view
+        view.hear_server(server.service, server.node, answer.demand)
         for service, report in answer.thresholds.items():
-            self._parts.view.hear_indirect(service, report)
+            view.hear_told(service, report)
 
     def _ratio(self, attempts: _Attempts) -> RetryRatio:
         service = attempts.request.service
--- a/bergamotmount/context.py
+++ b/bergamotmount/context.py
@@ -4,6 +4,7 @@
 import dataclasses
 import secrets
 
+from bergamotmount.rank import OPEN_RANK
 from bergamotmount.tokens import RetryPool
 
 _KEY_BYTES = 9
@@ -15,6 +16,7 @@
 
     ``deadline_ms`` is on this node's clock. ``rank`` orders the request under
     overload; ``idempotent`` tells whether it may run more than once.
+    ``entry_threshold`` is the rank up to which the entry let requests in.
     """
 
     root: str
@@ -25,6 +27,7 @@
     operation: str
     idempotent: bool
     depth: int = 0
+    entry_threshold: float = OPEN_RANK
     children: set[asyncio.Task] = dataclasses.field(default_factory=set)
 
     def cancel_children(self) -> None:
--- a/bergamotmount/egress.py
+++ b/bergamotmount/egress.py
@@ -107,6 +107,10 @@
         level = max(operation.level, request.level)
         if parent is None:
             root = f'{self._rng.getrandbits(_ROOT_BITS):x}'
+            entry_threshold = self._parts.entry_check.threshold_of(
+                request.service,
+                request.operation,
+            )
             rank = rank_of(level, root)
             pool = RetryPool(self._parts.policy().retries.per_request)
             depth = 1
@@ -116,6 +120,7 @@
             deadline_ms = min(deadline_ms, parent.deadline_ms)
             pool = parent.pool
             depth = parent.depth + 1
+            entry_threshold = parent.entry_threshold
         return Context(
             root=root,
             rank=rank,
@@ -125,6 +130,7 @@
             operation=request.operation,
             idempotent=operation.may_repeat,
             depth=depth,
+            entry_threshold=entry_threshold,
         )
 
     def _check(
--- a/bergamotmount/entrycheck.py
+++ b/bergamotmount/entrycheck.py
@@ -12,7 +12,7 @@
 from bergamotmount.policy import Policy
 from bergamotmount.rank import OPEN_RANK
 from bergamotmount.reasons import RefusalReason
-from bergamotmount.threshold import ThresholdView
+from bergamotmount.thresholdview import ThresholdView
 
 #: One in this many requests over the threshold is let in as a probe.
 PROBE_ONE_IN = 200
@@ -38,16 +38,20 @@
         self._policy = policy
         self._rng = rng
 
+    def threshold_of(self, service: str, operation: str) -> float:
+        """Return the rank up to which an operation's requests may enter."""
+        declared = self._policy().operation_by_name.get((service, operation))
+        if declared is None:
+            return OPEN_RANK
+        return min(map(self.view.current, declared.needs))
+
     def check(self, service: str, operation: str, rank: float) -> NotRun | None:
         """Return a refusal, or ``None`` when the request may enter.
 
         A small share of what is over the threshold enters all the same, so
         that stale news can't shut a service for good.
         """
-        declared = self._policy().operation_by_name.get((service, operation))
-        if declared is None:
-            return None
-        threshold = min(map(self.view.current, declared.needs))
+        threshold = self.threshold_of(service, operation)
         if rank <= threshold or threshold >= OPEN_RANK:
             return None
         if not self._rng.randrange(PROBE_ONE_IN):
--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -6,6 +6,7 @@
 hears "not run" only if no server may have got the request.
 """
 
+import asyncio
 import dataclasses
 import itertools
 import random
@@ -24,6 +25,7 @@
     Origin,
     Reply,
 )
+from bergamotmount.forwarding.needs import RouteNeeds
 from bergamotmount.forwarding.placement import Placement
 from bergamotmount.forwarding.retrybudget import ServiceRetries
 from bergamotmount.forwarding.routetable import Route, RouteTable, SplitPicker
@@ -41,7 +43,7 @@
     RetryReason,
     UnknownReason,
 )
-from bergamotmount.threshold import ThresholdView
+from bergamotmount.thresholdview import ThresholdView
 
 #: Time to return that is told when nothing better is known.
 RETRY_AFTER_MS = 400
@@ -67,6 +69,7 @@
     router: Placement
     runs: RunsInHand
     view: ThresholdView
+    needs: RouteNeeds
     table: Callable[[], RouteTable | None]
     call: Callable[[Member, Call], Awaitable[PeerReply]]
     own_service: Callable[[], str]
@@ -109,11 +112,12 @@
         work = self._work_of(request, route)
         if work is None:
             return Reply(_BAD_REQUEST)
-        refusal = self._check(work)
-        if refusal is not None:
-            return self._refused(refusal, work)
-        reply = await self._run(work)
-        self._parts.runs.answered(route.name)
+        try:
+            reply = await self._reply(work)
+        except asyncio.CancelledError:
+            self._parts.runs.abandoned(work.parent)
+            raise
+        self._parts.runs.answered(route.name, work.parent)
         return reply
 
     def _work_of(
@@ -138,7 +142,7 @@
             self.splits.pick(route),
             now_ms + min(granted_ms, route.timeout_ms),
             rank,
-            parent is not None,
+            parent,
         )
 
     def _single_headers(
@@ -163,16 +167,23 @@
                 return None
         return request_id, granted_ms
 
+    async def _reply(self, work: Work) -> Reply:
+        refusal = self._check(work)
+        if refusal is not None:
+            return self._refused(refusal, work)
+        return await self._run(work)
+
     def _check(self, work: Work) -> NotRun | None:
         if work.deadline_ms - self._clock.now_ms() < LEAST_RETRY_MS:
             return NotRun(RefusalReason.DEADLINE_TOO_CLOSE)
-        if work.is_inner:
+        if work.parent is not None:
+            work.threshold = work.parent.entry_threshold
             return None
-        threshold = self._parts.view.current(work.route.name)
-        if work.rank <= threshold:
+        needed = (work.service, *self._parts.needs.of(work.route.name))
+        work.threshold = min(map(self._parts.view.current, needed))
+        if work.rank <= work.threshold:
             return None
         wait_ms = RETRY_AFTER_MS * self._rng.uniform(1, 2)
-        work.threshold = threshold
         return NotRun(RefusalReason.OVER_THRESHOLD, int(wait_ms))
 
     async def _run(self, work: Work) -> Reply:
@@ -232,13 +243,11 @@
             answer.service_ms,
             is_good(answer.outcome),
         )
-        self._parts.view.hear_direct(
-            work.route.name,
-            server.node,
-            answer.threshold,
-        )
-        for route, report in answer.thresholds.items():
-            self._parts.view.hear_indirect(route, report)
+        view = self._parts.view
+        view.hear_server(work.service, server.node, answer.demand)
+        for service, report in answer.thresholds.items():
+            view.hear_told(service, report)
+        self._parts.needs.hear(work.route.name, answer.needs)
 
     def _note_refusal(
         self,
@@ -283,6 +292,7 @@
             depth=int(work.is_inner),
             target=request.target,
             tries=len(work.tried),
+            entry_threshold=work.threshold,
         )
 
     def _may_retry(self, work: Work, retries: ServiceRetries) -> bool:
--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from bergamotmount.admission import Admission
 from bergamotmount.clock import Clock
@@ -32,7 +33,8 @@
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.reasons import RefusalReason, UnknownReason
-from bergamotmount.threshold import ThresholdController, ThresholdView
+from bergamotmount.threshold import ThresholdController
+from bergamotmount.thresholdview import ThresholdView
 
 #: Least time that a request must have left when it goes to the server.
 LEAST_REMAINING_MS = 5
@@ -60,6 +62,7 @@
     controller: ThresholdController
     runs: RunsInHand
     view: ThresholdView
+    needs_of: Callable[[str], list[str]]
 
 
 class Gateway:
@@ -113,18 +116,14 @@
         deadline_ms = self._clock.now_ms() + call.remaining_ms
         outcome = await self._outcome(call, deadline_ms)
         self._count(call, outcome)
-        threshold = self.parts.runs.threshold_of(
-            call.operation,
-            self.parts.controller.current(),
-        )
-        self.parts.view.hear_direct(call.operation, self._node, threshold)
         return Answer(
             attempt=call.attempt,
             outcome=outcome,
-            threshold=threshold,
             thresholds=self.parts.view.closed(),
             load_permille=self.parts.admission.load_permille,
             service_ms=round(self.parts.admission.service_time.current_ms()),
+            demand=self.parts.controller.report(),
+            needs=self.parts.needs_of(call.operation),
         )
 
     async def _outcome(self, call: Call, deadline_ms: float) -> Outcome:
@@ -135,6 +134,7 @@
                 deadline_ms,
                 is_inner=call.depth > 0,
                 is_repeat=call.tries > 0,
+                entry_threshold=call.entry_threshold,
             )
         if refusal is not None:
             return self._not_run(refusal)
@@ -147,7 +147,13 @@
 
     async def _send_admitted(self, call: Call, deadline_ms: float) -> Outcome:
         admission = self.parts.admission
-        run = Run(call.operation, call.rank, deadline_ms)
+        run = Run(
+            call.operation,
+            call.rank,
+            deadline_ms,
+            call.root,
+            call.entry_threshold,
+        )
         started_ms = self._clock.now_ms()
         # A server that refuses with room to spare isn't overloaded but broken.
         was_full = admission.in_flight >= admission.limit.current()
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -16,6 +16,7 @@
     HttpLimits,
 )
 from bergamotmount.forwarding.httpserver import HttpServer
+from bergamotmount.forwarding.needs import RouteNeeds
 from bergamotmount.forwarding.options import ForwardingOptions, ForwardingPorts
 from bergamotmount.forwarding.ownserver import OwnServer
 from bergamotmount.forwarding.placement import Placement
@@ -39,7 +40,8 @@
 from bergamotmount.ports import Reply as PeerReply
 from bergamotmount.reasons import DropReason
 from bergamotmount.serving import PeerServer
-from bergamotmount.threshold import ThresholdController, ThresholdView
+from bergamotmount.threshold import ThresholdController
+from bergamotmount.thresholdview import ThresholdView
 
 #: How often leases, links and slow callers are looked at.
 CHECK_MS = 200
@@ -75,7 +77,8 @@
         self.members = Members(clock, own)
         self.router = Placement(clock, self.members, rng)
         self.view = ThresholdView(clock)
-        self.runs = RunsInHand(clock, self.view, rng)
+        self.needs = RouteNeeds(clock)
+        self.runs = RunsInHand(clock, rng)
         self.links = LinkPool(
             clock,
             ports.dialer,
@@ -216,6 +219,7 @@
                 self.controller,
                 self.runs,
                 self.view,
+                self._needs_of,
             ),
             self.options.names,
             counters,
@@ -227,6 +231,7 @@
                 self.router,
                 self.runs,
                 self.view,
+                self.needs,
                 self._table,
                 self.call,
                 self.own_service,
@@ -255,6 +260,14 @@
     def _table(self):
         return self.policy.table
 
+    def _needs_of(self, route: str) -> list[str]:
+        """Return the services that runs of a route lead to."""
+        needed: dict[str, None] = {}
+        for callee in self.runs.graph.callees(route):
+            needed.update(dict.fromkeys(self.policy.services_of(callee)))
+            needed.update(dict.fromkeys(self.needs.of(callee)))
+        return list(needed)
+
     def _new_retries(self) -> ServiceRetries:
         return ServiceRetries(self.ports.clock, self.options.retry)
 
@@ -276,8 +289,8 @@
             sender = heartbeat.members[0]
             if sender.service:
                 self.router.reported(sender.node, heartbeat.load_permille)
-            for route, report in heartbeat.thresholds.items():
-                self.view.hear_indirect(route, report)
+            for service, report in heartbeat.thresholds.items():
+                self.view.hear_told(service, report)
         replies.extend(self.policy.behind(heartbeat.policy_offset))
         return replies
 
@@ -299,6 +312,8 @@
             member.incarnation,
             member.version,
         )
+        if not member.is_routable:
+            self.view.forget(member.node)
         if member.state is MemberState.LEFT:
             self.router.forget(member.node)
 
--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -62,6 +62,10 @@
         """Version in force, -1 before the first."""
         return -1 if self.table is None else self.table.policy.version
 
+    def services_of(self, route: str) -> tuple[str, ...]:
+        """Return the services that run the requests of a route."""
+        return () if self.table is None else self.table.services_of(route)
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
--- a/bergamotmount/forwarding/routetable.py
+++ b/bergamotmount/forwarding/routetable.py
@@ -78,9 +78,13 @@
         """Sort the routes of a policy by host and prefix."""
         self.policy = policy
         self._by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        self._services_by_route: dict[str, tuple[str, ...]] = {}
         for route in policy.routes:
             by_prefix = self._by_prefix_by_host.setdefault(route.host, {})
             by_prefix[route.path_prefix] = route
+            self._services_by_route[route.name] = tuple(
+                part.service for part in route.parts
+            )
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
@@ -95,6 +99,10 @@
             end = path.rfind('/', 0, end)
         return None
 
+    def services_of(self, name: str) -> tuple[str, ...]:
+        """Return the services of a route, none for an unknown one."""
+        return self._services_by_route.get(name, ())
+
 
 class SplitPicker:
     """Shares the requests of a route among its services by weight.
--- a/bergamotmount/forwarding/work.py
+++ b/bergamotmount/forwarding/work.py
@@ -4,6 +4,7 @@
 
 from bergamotmount.forwarding.http import HttpRequest
 from bergamotmount.forwarding.routetable import Route
+from bergamotmount.forwarding.runs import Run
 from bergamotmount.outcomes import Answered, NotRun, Outcome
 from bergamotmount.rank import OPEN_RANK
 from bergamotmount.reasons import RefusalReason, UnknownReason
@@ -16,9 +17,9 @@
     """A request in hand and what was tried for it.
 
     ``deadline_ms`` is the earlier one of the caller's and the route's.
-    ``is_inner`` tells that a running request made it. ``tried`` are nodes that
-    were asked, ``servers_reached`` counts servers that may have seen it.
-    ``threshold`` is what it was compared with, for the log.
+    ``parent`` is the run that made it, if any. ``tried`` are nodes that were
+    asked, ``servers_reached`` counts servers that may have seen it.
+    ``threshold`` is what it, or its root, was compared with.
     """
 
     request: HttpRequest
@@ -27,7 +28,7 @@
     service: str
     deadline_ms: float
     rank: float
-    is_inner: bool
+    parent: Run | None
     tried: set[str] = dataclasses.field(default_factory=set)
     servers_reached: int = 0
     may_have_run: bool = False
@@ -35,6 +36,11 @@
     unknown: UnknownReason | None = None
     threshold: float = OPEN_RANK
 
+    @property
+    def is_inner(self) -> bool:
+        """Whether a running request made it."""
+        return self.parent is not None
+
 
 def is_good(outcome: Outcome) -> bool:
     """Return whether an outcome speaks for the server that gave it."""
--- a/bergamotmount/ingress.py
+++ b/bergamotmount/ingress.py
@@ -95,6 +95,7 @@
             threshold=self.gate.controller.current(),
             thresholds=self._entry_check.view.reports(),
             load_permille=self.gate.admission.load_permille,
+            demand=self.gate.controller.report(),
         )
 
     async def _outcome(self, work: _Work) -> Outcome:
@@ -171,7 +172,11 @@
         if self._is_over_threshold(work.call):
             return RefusalReason.OVER_THRESHOLD
         admission = self.gate.admission
-        refusal = await admission.enter(work.call.rank, work.deadline_ms)
+        refusal = await admission.enter(
+            work.call.rank,
+            work.deadline_ms,
+            entry_threshold=work.call.entry_threshold,
+        )
         if refusal is not None:
             return refusal
         refusal = self._refusal_by_state(work)
@@ -258,4 +263,5 @@
         operation=call.operation,
         idempotent=call.idempotent,
         depth=call.depth,
+        entry_threshold=call.entry_threshold,
     )
--- a/bergamotmount/messages.py
+++ b/bergamotmount/messages.py
@@ -10,7 +10,7 @@
 from bergamotmount.member import Member
 from bergamotmount.outcomes import Outcome
 from bergamotmount.rank import OPEN_RANK
-from bergamotmount.threshold import ThresholdReport
+from bergamotmount.reports import DemandReport, ThresholdReport
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,7 +22,8 @@
     until the deadline at the moment of sending, ``tokens`` the retry tokens
     lent to everything below this call. ``target`` is path and query of a
     forwarded HTTP request, empty for a call of an operation. ``tries``
-    counts the servers that were asked before.
+    counts the servers that were asked before. ``entry_threshold`` is the rank
+    up to which the entry let requests like its root in.
     """
 
     attempt: int
@@ -40,6 +41,7 @@
     depth: int = 0
     target: str = ''
     tries: int = 0
+    entry_threshold: float = OPEN_RANK
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,7 +52,8 @@
     above which this backend server refuses, ``thresholds`` what the node
     heard of other services, ``load_permille`` the share of the server's limit
     in use, in thousandths, ``service_ms`` the server's mean service time, 0
-    when it isn't known.
+    when it isn't known, ``demand`` what the server can take and is asked for,
+    ``needs`` the services that its calls for this request lead to.
     """
 
     attempt: int
@@ -62,6 +65,8 @@
     )
     load_permille: int = 0
     service_ms: int = 0
+    demand: DemandReport = DemandReport()
+    needs: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/bergamotmount/node.py
+++ b/bergamotmount/node.py
@@ -41,7 +41,8 @@
 from bergamotmount.reasons import RefusalReason
 from bergamotmount.routing import Router
 from bergamotmount.serving import PeerServer
-from bergamotmount.threshold import ThresholdController, ThresholdView
+from bergamotmount.threshold import ThresholdController
+from bergamotmount.thresholdview import ThresholdView
 from bergamotmount.ticket import TicketMint
 from bergamotmount.ticketissuer import TicketIssuer
 from bergamotmount.ticketstore import TicketStore
@@ -289,13 +290,8 @@
     def _hear_load(self, sender: Member, heartbeat: Heartbeat) -> None:
         if sender.service:
             self.router.reported(sender.node, heartbeat.load_permille)
-            self.view.hear_direct(
-                sender.service,
-                sender.node,
-                heartbeat.threshold,
-            )
         for service, report in heartbeat.thresholds.items():
-            self.view.hear_indirect(service, report)
+            self.view.hear_told(service, report)
 
     def _receive_on_link(self, address: str, message: Message) -> None:
         for reply in self.receive(message):
--- a/bergamotmount/tests/test_codec.py
+++ b/bergamotmount/tests/test_codec.py
@@ -11,7 +11,7 @@
 from bergamotmount.ports import ChannelError
 from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
 from bergamotmount.tests.fakes import CountingCounters
-from bergamotmount.threshold import ThresholdReport
+from bergamotmount.reports import DemandReport, ThresholdReport
 from bergamotmount.wire.codec import Kind, decode, encode
 from bergamotmount.wire.compression import FrameCompressor, FrameExpander
 from bergamotmount.wire.frames import (
@@ -48,6 +48,9 @@
     'ticket',
     False,
     4,
+    '/a?b',
+    2,
+    2.25,
 )
 MESSAGES = (
     CALL,
@@ -58,6 +61,9 @@
         2.5,
         {'b': ThresholdReport(0.5, 30)},
         700,
+        40,
+        DemandReport(12.5, (1, 0, 2, 0)),
+        ['b', 'c'],
     ),
     messages.Answer(3, NotRun(RefusalReason.QUEUE_FULL, 120, 't', 'why')),
     messages.Answer(4, Unknown(UnknownReason.ANSWER_LOST)),
--- a/bergamotmount/tools/bench_slopes.py
+++ b/bergamotmount/tools/bench_slopes.py
@@ -21,8 +21,8 @@
 from bergamotmount.member import Member, MemberState
 from bergamotmount.membership import Members, find_fingers
 from bergamotmount.outcomes import Answered
+from bergamotmount.reports import ThresholdReport
 from bergamotmount.routing import Router
-from bergamotmount.threshold import ThresholdReport
 from bergamotmount.wire.codec import decode, encode
 from bergamotmount.wire.frames import HEADER_BYTES
 
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -11,8 +11,9 @@
 from bergamotmount import messages
 from bergamotmount.member import Member, MemberState
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
+from bergamotmount.rank import LEVELS, OPEN_RANK
 from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
-from bergamotmount.threshold import ThresholdReport
+from bergamotmount.reports import DemandReport, ThresholdReport
 from bergamotmount.wire.frames import FrameError
 from bergamotmount.wire.gen import ttypes
 
@@ -93,6 +94,7 @@
         call.depth,
         call.target,
         call.tries,
+        call.entry_threshold,
     )
 
 
@@ -113,6 +115,7 @@
         wire.depth or 0,
         wire.target or '',
         wire.tries or 0,
+        _threshold_or_open(wire.entry_threshold),
     )
 
 
@@ -124,6 +127,9 @@
         service_ms=answer.service_ms,
         threshold=answer.threshold,
         thresholds=_thresholds_to_wire(answer.thresholds),
+        allowed=answer.demand.allowed,
+        demand=answer.demand.demand,
+        needs=answer.needs,
     )
     match answer.outcome:
         case Answered(status, headers, body):
@@ -152,6 +158,8 @@
         thresholds=_thresholds_from_wire(wire.thresholds),
         load_permille=wire.load_permille or 0,
         service_ms=wire.service_ms or 0,
+        demand=_demand_from_wire(wire),
+        needs=wire.needs or [],
     )
 
 
@@ -176,6 +184,16 @@
             raise FrameError(DropReason.FRAME_MALFORMED)
 
 
+def _demand_from_wire(wire: ttypes.Answer) -> DemandReport:
+    if wire.allowed is None:
+        # Nodes of an older release don't tell it.
+        return DemandReport()
+    demand = tuple(wire.demand or ())
+    if len(demand) != LEVELS:
+        raise FrameError(DropReason.FRAME_MALFORMED)
+    return DemandReport(wire.allowed, demand)
+
+
 def _thresholds_to_wire(
     reports: dict[str, ThresholdReport],
 ) -> list[ttypes.Threshold]:
@@ -254,6 +272,11 @@
     )
 
 
+def _threshold_or_open(rank: float | None) -> float:
+    # Nodes of an older release don't tell it.
+    return OPEN_RANK if rank is None else rank
+
+
 def _present(field: _Field | None) -> _Field:
     if field is None:
         raise FrameError(DropReason.FRAME_MALFORMED)
--- a/bergamotmount/wire/gen/ttypes.py
+++ b/bergamotmount/wire/gen/ttypes.py
@@ -34,6 +34,7 @@
      - depth
      - target
      - tries
+     - entry_threshold
 
     """
 
@@ -53,10 +54,11 @@
         'depth',
         'target',
         'tries',
+        'entry_threshold',
     )
 
 
-    def __init__(self, attempt=None, root=None, rank=None, remaining_ms=None, tokens=None, service_name=None, operation=None, method=None, headers=None, body=None, ticket=None, idempotent=None, depth=None, target=None, tries=None,):
+    def __init__(self, attempt=None, root=None, rank=None, remaining_ms=None, tokens=None, service_name=None, operation=None, method=None, headers=None, body=None, ticket=None, idempotent=None, depth=None, target=None, tries=None, entry_threshold=None,):
         self.attempt = attempt
         self.root = root
         self.rank = rank
@@ -72,6 +74,7 @@
         self.depth = depth
         self.target = target
         self.tries = tries
+        self.entry_threshold = entry_threshold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -162,6 +165,11 @@
                     self.tries = iprot.readI16()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.DOUBLE:
+                    self.entry_threshold = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -235,6 +243,10 @@
             oprot.writeFieldBegin('tries', TType.I16, 15)
             oprot.writeI16(self.tries)
             oprot.writeFieldEnd()
+        if self.entry_threshold is not None:
+            oprot.writeFieldBegin('entry_threshold', TType.DOUBLE, 16)
+            oprot.writeDouble(self.entry_threshold)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -369,6 +381,9 @@
      - detail
      - threshold
      - service_ms
+     - allowed
+     - demand
+     - needs
 
     """
 
@@ -387,10 +402,13 @@
         'detail',
         'threshold',
         'service_ms',
+        'allowed',
+        'demand',
+        'needs',
     )
 
 
-    def __init__(self, attempt=None, outcome=None, status=None, reason=None, headers=None, body=None, tokens=None, retry_after_ms=None, thresholds=None, load_permille=None, ticket=None, detail=None, threshold=None, service_ms=None,):
+    def __init__(self, attempt=None, outcome=None, status=None, reason=None, headers=None, body=None, tokens=None, retry_after_ms=None, thresholds=None, load_permille=None, ticket=None, detail=None, threshold=None, service_ms=None, allowed=None, demand=None, needs=None,):
         self.attempt = attempt
         self.outcome = outcome
         self.status = status
@@ -405,6 +423,9 @@
         self.detail = detail
         self.threshold = threshold
         self.service_ms = service_ms
+        self.allowed = allowed
+        self.demand = demand
+        self.needs = needs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -496,6 +517,31 @@
                     self.service_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.DOUBLE:
+                    self.allowed = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.demand = []
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = iprot.readDouble()
+                        self.demand.append(_elem24)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.needs = []
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.needs.append(_elem30)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -525,8 +571,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.headers))
-            for iter19 in self.headers:
-                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
+            for iter31 in self.headers:
+                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -544,8 +590,8 @@
         if self.thresholds is not None:
             oprot.writeFieldBegin('thresholds', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.thresholds))
-            for iter20 in self.thresholds:
-                iter20.write(oprot)
+            for iter32 in self.thresholds:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load_permille is not None:
@@ -568,6 +614,24 @@
             oprot.writeFieldBegin('service_ms', TType.I32, 14)
             oprot.writeI32(self.service_ms)
             oprot.writeFieldEnd()
+        if self.allowed is not None:
+            oprot.writeFieldBegin('allowed', TType.DOUBLE, 15)
+            oprot.writeDouble(self.allowed)
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.LIST, 16)
+            oprot.writeListBegin(TType.DOUBLE, len(self.demand))
+            for iter33 in self.demand:
+                oprot.writeDouble(iter33)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.needs is not None:
+            oprot.writeFieldBegin('needs', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRING, len(self.needs))
+            for iter34 in self.needs:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -901,11 +965,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Member()
-                        _elem26.read(iprot)
-                        self.members.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Member()
+                        _elem40.read(iprot)
+                        self.members.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -922,11 +986,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.thresholds = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = Threshold()
-                        _elem32.read(iprot)
-                        self.thresholds.append(_elem32)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = Threshold()
+                        _elem46.read(iprot)
+                        self.thresholds.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -971,8 +1035,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter33 in self.members:
-                iter33.write(oprot)
+            for iter47 in self.members:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -986,8 +1050,8 @@
         if self.thresholds is not None:
             oprot.writeFieldBegin('thresholds', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.thresholds))
-            for iter34 in self.thresholds:
-                iter34.write(oprot)
+            for iter48 in self.thresholds:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.full is not None:
@@ -1202,10 +1266,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readBinary()
-                        self.records.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readBinary()
+                        self.records.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1226,8 +1290,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.records))
-            for iter41 in self.records:
-                oprot.writeBinary(iter41)
+            for iter55 in self.records:
+                oprot.writeBinary(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1351,6 +1415,7 @@
     (13, TType.I16, 'depth', None, None, ),  # 13
     (14, TType.STRING, 'target', 'UTF8', None, ),  # 14
     (15, TType.I16, 'tries', None, None, ),  # 15
+    (16, TType.DOUBLE, 'entry_threshold', None, None, ),  # 16
 )
 all_structs.append(Threshold)
 Threshold.thrift_spec = (
@@ -1376,6 +1441,9 @@
     (12, TType.STRING, 'detail', 'UTF8', None, ),  # 12
     (13, TType.DOUBLE, 'threshold', None, None, ),  # 13
     (14, TType.I32, 'service_ms', None, None, ),  # 14
+    (15, TType.DOUBLE, 'allowed', None, None, ),  # 15
+    (16, TType.LIST, 'demand', (TType.DOUBLE, None, False), None, ),  # 16
+    (17, TType.LIST, 'needs', (TType.STRING, 'UTF8', False), None, ),  # 17
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/bergamotmount/wire/messages.thrift
+++ b/bergamotmount/wire/messages.thrift
@@ -22,6 +22,7 @@
   13: i16 depth
   14: string target
   15: i16 tries
+  16: double entry_threshold
 }
 
 struct Threshold {
@@ -45,6 +46,9 @@
   12: string detail
   13: double threshold
   14: i32 service_ms
+  15: double allowed
+  16: list<double> demand
+  17: list<string> needs
 }
 
 struct Cancel {
