--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -75,7 +75,6 @@
         self.options = options
         clock, rng = ports.clock, ports.rng
         self.members = Members(clock, own)
-        self.router = Placement(clock, self.members, rng)
         self.view = ThresholdView(clock)
         self.needs = RouteNeeds(clock)
         self.runs = RunsInHand(clock, rng)
@@ -85,6 +84,12 @@
             ports.counters,
             self._receive_on_link,
         )
+        self.router = Placement(
+            clock,
+            self.members,
+            rng,
+            self.links.is_suspect,
+        )
         self.heartbeats = Heartbeats(
             clock,
             self.members,
--- a/bergamotmount/forwarding/placement.py
+++ b/bergamotmount/forwarding/placement.py
@@ -12,7 +12,7 @@
 
 import dataclasses
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from bergamotmount.clock import Clock
 from bergamotmount.member import Member
@@ -45,9 +45,16 @@
 FULL_LOAD = 1.1
 OVER_FULL_FACTOR = 60
 
+#: Factor on the expected time of a server whose node is silent.
+SUSPECT_FACTOR = 1000
+
 _PERMILLE = 1000
 
 
+def _is_never_suspect(_address: str) -> bool:
+    return False
+
+
 @dataclasses.dataclass(slots=True)
 class _Observed:
     """What answers told of one server."""
@@ -66,9 +73,14 @@
         clock: Clock,
         members: Members,
         rng: random.Random,
+        is_suspect: Callable[[str], bool] = _is_never_suspect,
     ) -> None:
-        """Place among ``members``, seen from the own node."""
+        """Place among ``members``, seen from the own node.
+
+        An address for which ``is_suspect`` holds is taken last.
+        """
         super().__init__(clock, members, rng)
+        self._is_suspect = is_suspect
         self._observed_by_node: dict[str, _Observed] = {}
 
     def pick(self, service: str, tried: Collection[str]) -> Member | None:
@@ -121,6 +133,8 @@
 
     def _cost_ms(self, member: Member, usual_ms: float) -> float:
         cost_ms = self.expected_ms(member, usual_ms)
+        if self._is_suspect(member.address):
+            cost_ms *= SUSPECT_FACTOR
         if member.failure_domain == self._members.own.failure_domain:
             return cost_ms
         return cost_ms * FAR_FACTOR + FAR_MS
