Log the rate limit and the departure that a server states in its responses

Gateways now read both headers of the new rules and write one line (`signals`) whenever they change. Nothing is decided by them yet.

--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -35,6 +35,7 @@
 from bergamotmount.forwarding.serverconnection import (
     BrokenExchangeError,
 )
+from bergamotmount.forwarding.serversignals import NO_SIGNALS, read_signals
 from bergamotmount.lifecycle import ServerLifecycle, ServerState
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
@@ -91,6 +92,7 @@
         self._counters = counters
         self._pool: ConnectionPool | None = None
         self._detached_tasks: set[asyncio.Task] = set()
+        self._signals = NO_SIGNALS
         self.decisions = DecisionLog(clock, 'gateway')
 
     def attach_process(self, process: ServerProcess) -> None:
@@ -100,6 +102,7 @@
         if self._pool is not None:
             self._pool.close_idle()
         self.process = process
+        self._signals = NO_SIGNALS
         self._pool = self._pool_factory(self._clock, process.address)
 
     def close_idle(self) -> None:
@@ -215,6 +218,7 @@
                 response_started=error.response_started,
             )
             return Unknown(UnknownReason.ANSWER_LOST)
+        self._record_signals(response)
         return self._classify(response)
 
     def _pack(self, call: Call, deadline_ms: float) -> bytes:
@@ -245,6 +249,18 @@
             return connection.requests == 1
         return request_id == root
 
+    def _record_signals(self, response: HttpResponse) -> None:
+        signals = read_signals(response.headers, self._header_names)
+        if signals == self._signals:
+            return
+        self._signals = signals
+        self.decisions.write(
+            'signals',
+            instance=self.process.instance,
+            rate_limit=signals.rate_limit,
+            leaving=signals.is_leaving,
+        )
+
     def _classify(self, response: HttpResponse) -> Outcome:
         """Return the outcome that a response of the server stands for."""
         headers = response.headers
--- a/bergamotmount/forwarding/headers.py
+++ b/bergamotmount/forwarding/headers.py
@@ -17,6 +17,8 @@
     ``not_run`` marks a refusal by a server that didn't run the request;
     ``caller`` names the calling service; ``instance`` names the server
     process that answers, ``target`` the one that a request is addressed to.
+    ``rate_limit`` is the rate of requests that a server takes from all nodes
+    together, ``leaving`` marks the responses of one that is about to stop.
     """
 
     request_id: str = 'Bergamot-Request-Id'
@@ -27,6 +29,8 @@
     instance: str = 'Bergamot-Instance'
     caller: str = 'Bergamot-Caller'
     retry_after: str = 'Retry-After'
+    rate_limit: str = 'Bergamot-Rate-Limit'
+    leaving: str = 'Bergamot-Leaving'
 
     @functools.cached_property
     def removed_from_requests(self) -> frozenset[str]:
@@ -37,6 +41,14 @@
         set_by_node = {self.deadline, self.target, self.caller}
         return CONNECTION_HEADERS | {name.lower() for name in set_by_node}
 
+    @functools.cached_property
+    def signal_by_name(self) -> dict[str, str]:
+        """Signals of servers by the lower-case names of their headers."""
+        return {
+            self.rate_limit.lower(): 'rate_limit',
+            self.leaving.lower(): 'leaving',
+        }
+
     @functools.cached_property
     def single_valued(self) -> frozenset[str]:
         """Lower-case names of headers that a request may carry only once."""
--- a/bergamotmount/platform/names.py
+++ b/bergamotmount/platform/names.py
@@ -11,6 +11,8 @@
     instance='X-Instance-Id',
     caller='X-Caller-Service',
     retry_after='Retry-After',
+    rate_limit='Server-Limit',
+    leaving='Server-Leaving',
 )
 
 READY_PATH = '/bergamotmount/readyz'
