Keep to the rate limit that a backend server states

What callers saw: nothing yet; the server in need was driven further into it.

Cause: admission to a server knew its slots only. No node acted on the rate that the server states, so it got its share of all requests as before. Class: a limit that the counterpart announces while it works, and that only start-up values (slots of the announcement) were read for.

Change: the node beside the server enforces the rate as a token bucket. It is the only way to the server, so the sum over all nodes needs no agreement. The use of the bucket counts as the server's load, so the other nodes choose other servers; what arrives nevertheless waits 200 ms at most, most important first, else is refused before it reaches the server (`rate_limited`), which costs no retry. The service's threshold counts the rate as the server's capacity. The limit ends with the response to a request that was sent after it was stated last. A limit of 0 lets one request through every 2 s, to see it end.

Ruled out: shares of the limit at each entry (they would need the number of active entries, and a cut-off domain would keep a stale share); the factor of one and a half that the users allow is left unused, the server takes no more.

New: the node beside the server restarts, 30 random plays of changing limits against the bound, a late response to an earlier request, a limit of 0.

--- a/bergamotmount/admission.py
+++ b/bergamotmount/admission.py
@@ -1,8 +1,9 @@
-"""Admission to one backend server: a concurrency limit and a priority queue.
+"""Admission to one backend server: limits and a priority queue.
 
-Requests are admitted in order of rank. When the queue is full, a more
-important request evicts the least important one in the queue. A request whose
-deadline can no longer be met is refused without waiting for the deadline::
+The number of concurrent requests is limited, and their rate too if the server
+states one. Requests are admitted in order of rank. When the queue is full, a
+more important request evicts the least important one in the queue. A request
+whose deadline can no longer be met is refused without waiting for it::
 
     refusal = await admission.acquire(rank, deadline_ms)
     if refusal is None:
@@ -30,6 +31,10 @@
 #: Minimum queue capacity.
 MIN_QUEUE = 8
 
+#: Maximum time in the queue for the server's rate limit: beyond it another
+#: server is likely to answer sooner.
+MAX_RATE_WAIT_MS = 200
+
 #: Lower bound of the retry-after advice, before jitter.
 MIN_RETRY_AFTER_MS = 100
 
@@ -67,12 +72,14 @@
         """
         self.service_time = service_time
         self.limit = limit
+        self._rate_limit = limit.rate
         self.in_flight = 0
         self._clock = clock
         self._controller = controller
         self._rng = rng
         self._waiters: list[_Waiter] = []
         self._sequence = itertools.count()
+        self._refill_timer: asyncio.TimerHandle | None = None
 
     @property
     def queued(self) -> int:
@@ -81,8 +88,9 @@
 
     @property
     def load_permille(self) -> int:
-        """Requests in flight and queued, in thousandths of the limit."""
-        return int(_PERMILLE * self._load())
+        """Use of the tighter of both limits, in thousandths of it."""
+        rate_load = self._rate_limit.load(self.queued)
+        return int(_PERMILLE * max(self._load(), rate_load))
 
     async def acquire(
         self,
@@ -110,13 +118,15 @@
         limit = self.limit.current()
         if not limit:
             return RefusalReason.NOT_SERVING
-        has_room = self.in_flight < limit
+        has_room = self._has_room()
         position = 0 if has_room else self._position_of(order)
         if not self._can_finish(deadline_ms, position):
             return RefusalReason.DEADLINE_TOO_CLOSE
         if has_room and not self._waiters:
-            self.in_flight += 1
+            self._admit()
             return None
+        if self._rate_limit.wait_ms(position) > MAX_RATE_WAIT_MS:
+            return RefusalReason.RATE_LIMITED
         if not self._make_room(order):
             return RefusalReason.QUEUE_FULL
         return await self._wait(order, deadline_ms)
@@ -128,19 +138,20 @@
         self.admit_waiting()
 
     def admit_waiting(self) -> None:
-        """Admit queued requests until the limit is reached.
+        """Admit queued requests until a limit is reached.
 
         Queued requests that can no longer meet their deadline are refused.
         """
-        while self._waiters and self.in_flight < self.limit.current():
+        while self._waiters and self._has_room():
             waiter = self._waiters.pop(0)
             if waiter.decision.done():
                 continue
             if self._can_finish(waiter.deadline_ms, 0):
-                self.in_flight += 1
+                self._admit()
                 waiter.decision.set_result(None)
             else:
                 waiter.decision.set_result(RefusalReason.DEADLINE_TOO_CLOSE)
+        self._schedule_refill()
 
     def refuse_waiting(self, reason: RefusalReason) -> None:
         """Refuse all queued requests, for instance during a drain."""
@@ -154,15 +165,37 @@
         """Return how long a refused caller should wait, with jitter.
 
         The advice is the time to finish the requests in flight and queued,
-        multiplied by a factor that grows as the threshold falls.
+        multiplied by a factor that grows as the threshold falls, and at least
+        the wait for the rate limit.
         """
         pending = self.in_flight + self.queued + 1
         rounds = pending / max(self.limit.current(), 1)
         backlog_ms = rounds * self.service_time.current_ms()
         advice_ms = backlog_ms * self._controller.retry_after_factor()
+        advice_ms = max(advice_ms, self._rate_limit.wait_ms(self.queued + 1))
         bounded_ms = min(max(advice_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
         return int(bounded_ms * self._rng.uniform(1, 2))
 
+    def _has_room(self) -> bool:
+        is_below_limit = self.in_flight < self.limit.current()
+        return is_below_limit and self._rate_limit.has_token()
+
+    def _admit(self) -> None:
+        self.in_flight += 1
+        self._rate_limit.take()
+
+    def _schedule_refill(self) -> None:
+        """Admit again when the rate limit allows the next request."""
+        wait_ms = self._rate_limit.wait_ms()
+        if self._refill_timer is None and self._waiters and wait_ms:
+            self._refill_timer = self._clock.call_later(
+                wait_ms, self._admit_after_refill
+            )
+
+    def _admit_after_refill(self) -> None:
+        self._refill_timer = None
+        self.admit_waiting()
+
     async def _wait(
         self,
         order: float,
--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -103,6 +103,7 @@
             self._pool.close_idle()
         self.process = process
         self._signals = NO_SIGNALS
+        self._deps.admission.limit.rate.clear()
         self._pool = self._pool_factory(self._clock, process.address)
 
     def close_idle(self) -> None:
@@ -196,8 +197,10 @@
     async def _exchange(
         self, connection, call: Call, active: ActiveRequest
     ) -> Outcome:
+        process = self.process
         packed = self._pack(call, active.deadline_ms)
-        remaining_ms = active.deadline_ms - self._clock.now_ms()
+        sent_ms = self._clock.now_ms()
+        remaining_ms = active.deadline_ms - sent_ms
         try:
             async with self._clock.timeout(remaining_ms):
                 response = await connection.exchange(
@@ -213,12 +216,13 @@
             self.decisions.write(
                 'broken',
                 request=call.root,
-                instance=self.process.instance,
+                instance=process.instance,
                 cause=error.reason,
                 response_started=error.response_started,
             )
             return Unknown(UnknownReason.ANSWER_LOST)
-        self._record_signals(response)
+        if process is self.process:
+            self._record_signals(response, sent_ms)
         return self._classify(response)
 
     def _pack(self, call: Call, deadline_ms: float) -> bytes:
@@ -249,8 +253,10 @@
             return connection.requests == 1
         return request_id == root
 
-    def _record_signals(self, response: HttpResponse) -> None:
+    def _record_signals(self, response: HttpResponse, sent_ms: float) -> None:
         signals = read_signals(response.headers, self._header_names)
+        rate = self._deps.admission.limit.rate
+        rate.record_response(signals.rate_limit, sent_ms)
         if signals == self._signals:
             return
         self._signals = signals
--- a/bergamotmount/limit.py
+++ b/bergamotmount/limit.py
@@ -12,6 +12,7 @@
 """
 
 from bergamotmount.clock import Clock
+from bergamotmount.ratelimit import RateLimit
 
 #: Share of the slots that is available when a slow start begins.
 SLOW_START_SHARE = 0.2
@@ -27,7 +28,10 @@
 
 
 class ConcurrencyLimit:
-    """Limits the requests that a backend server executes concurrently."""
+    """Limits the requests that a backend server executes concurrently.
+
+    ``rate`` limits the requests per second, if the server states a rate.
+    """
 
     def __init__(self, clock: Clock, headroom: float = 0) -> None:
         """Start with a limit of 0, until the slots are known.
@@ -35,6 +39,7 @@
         ``headroom`` is the share of the slots that is never used, for servers
         that slow down when they are nearly full.
         """
+        self.rate = RateLimit(clock)
         self._clock = clock
         self._headroom = headroom
         self._slots = 0
--- a/bergamotmount/reasons.py
+++ b/bergamotmount/reasons.py
@@ -12,6 +12,7 @@
 
     QUEUE_FULL = 'queue_full'
     EVICTED = 'evicted'
+    RATE_LIMITED = 'rate_limited'
     OVER_THRESHOLD = 'over_threshold'
     DEADLINE_TOO_CLOSE = 'deadline_too_close'
     DEADLINE_PASSED = 'deadline_passed'
@@ -86,6 +87,7 @@
     (
         RefusalReason.QUEUE_FULL,
         RefusalReason.EVICTED,
+        RefusalReason.RATE_LIMITED,
         RefusalReason.DEADLINE_TOO_CLOSE,
         RefusalReason.DRAINING,
         RefusalReason.NOT_SERVING,
--- a/bergamotmount/tests/test_serverratelimit.py
+++ b/bergamotmount/tests/test_serverratelimit.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import collections
+import math
+import random
 
-from bergamotmount.clock import MS_PER_SECOND
-from bergamotmount.forwarding.http import HttpRequest, HttpResponse, header_of
+from bergamotmount.clock import MS_PER_SECOND, LoopClock
+from bergamotmount.forwarding.http import HttpRequest, HttpResponse
+from bergamotmount.ratelimit import MIN_RATE, RateLimit
 from bergamotmount.tests.forwardingfixture import (
     HEADER_NAMES,
     ForwardingHost,
@@ -24,6 +27,52 @@
 NOTICE_S = 0.5
 
 
+class RateLimitTest(VirtualTestCase):
+    """The token bucket of one node."""
+
+    async def test_requests_in_any_window(self):
+        """A changing limit or a pause could let a burst through."""
+        rng = random.Random(5)
+        for _ in range(30):
+            await self.check_random_play(rng)
+
+    async def check_random_play(self, rng) -> None:
+        """Send whenever allowed; compare each window with the highest rate."""
+        rate_limit = RateLimit(LoopClock())
+        rates = [rng.uniform(0, 30) for _ in range(5)]
+        sent_s: list[float] = []
+        for rate in rates:
+            rate_limit.record_response(rate, math.inf)
+            for _ in range(rng.randrange(1, 150)):
+                await asyncio.sleep(rng.choice((0.001, 0.02, 0.3)))
+                if rate_limit.has_token():
+                    rate_limit.take()
+                    sent_s.append(asyncio.get_running_loop().time())
+        allowed = allowed_in_window(max(rates))
+        for start_s in sent_s:
+            in_window = sum(0 <= each - start_s < WINDOW_S for each in sent_s)
+            self.assertLessEqual(in_window, allowed)
+
+    async def test_earlier_request_keeps_the_limit(self):
+        """The late response to an earlier request could end the limit."""
+        await asyncio.sleep(1)
+        rate_limit = RateLimit(LoopClock())
+        rate_limit.record_response(10, sent_ms=800)
+        rate_limit.record_response(math.inf, sent_ms=900)
+        self.assertTrue(rate_limit.is_limited)
+        await asyncio.sleep(0.1)
+        rate_limit.record_response(math.inf, sent_ms=1050)
+        self.assertFalse(rate_limit.is_limited)
+
+    async def test_server_that_takes_nothing(self):
+        """A limit of 0 could keep a server out of use for good."""
+        rate_limit = RateLimit(LoopClock())
+        rate_limit.record_response(0, sent_ms=0)
+        self.assertFalse(rate_limit.has_token())
+        await asyncio.sleep(1 / MIN_RATE)
+        self.assertTrue(rate_limit.has_token())
+
+
 class LimitedServer:
     """Behaviour of a server that names a limit, and its arrivals."""
 
@@ -126,6 +175,24 @@
         self.assertLess(served['/a/1'], served['/buy/1'])
         self.fixture.close()
 
+    async def test_limit_after_a_restart_of_the_node(self):
+        """A node that has restarted could send more than the limit."""
+        self.fixture = await make_forwarding_fixture()
+        host = self.fixture.host_by_name['a1']
+        limited = LimitedServer(host, 10)
+        await self.send_for(5, 80)
+        host.kill()
+        await asyncio.sleep(1)
+        host.start()
+        restarted_s = asyncio.get_running_loop().time()
+        await self.send_for(8, 80)
+        arrivals = limited.count_between(restarted_s, restarted_s + 8)
+        self.assertGreater(arrivals, 20)
+        self.assertLessEqual(
+            limited.max_in_window(restarted_s), allowed_in_window(10)
+        )
+        self.fixture.close()
+
     async def test_limit_that_is_no_longer_named(self):
         """A server that has recovered could stay limited."""
         self.fixture = await make_forwarding_fixture()
--- a/bergamotmount/threshold.py
+++ b/bergamotmount/threshold.py
@@ -167,6 +167,13 @@
 
     def _admissible_rate(self, elapsed_ms: float) -> float:
         """Return the admissible rate, in requests per millisecond."""
+        rate_limit = self._limit.rate.per_second / MS_PER_SECOND
+        return min(
+            self._completion_rate(elapsed_ms), TARGET_UTILIZATION * rate_limit
+        )
+
+    def _completion_rate(self, elapsed_ms: float) -> float:
+        """Return the rate at which the server can work off its requests."""
         service_ms = self._service_time.current_ms()
         if not service_ms or not self._load_samples or elapsed_ms > IDLE_MS:
             self._service_ms = service_ms
