Send no new requests to a server that states that it is leaving

A server that says in its responses that it leaves got requests until its announcement came.

Cause: departures were read from announcements only, as with the rate limit (same class: what a server says in its responses wasn't read).

Change: the gateway passes the statement to the local server, which handles it like an announced departure: it drains at once, and later announcements of the same process don't bring it back. The next process does.

Requests in flight end whole. A departure that is recorded twice no longer takes two places among those that are remembered.

Ruled out: waiting `drain_s` before the stop. The server stays up for that time to finish what it has, not to take more.

--- a/bergamotmount/forwarding/announcements.py
+++ b/bergamotmount/forwarding/announcements.py
@@ -88,7 +88,8 @@
         current = self.current
         if current is None or current.instance != instance:
             return False
-        self._departed.append((current.instance, current.process_start_ms))
+        if not self.has_departed(current):
+            self._departed.append((current.instance, current.process_start_ms))
         return True
 
 
--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -62,7 +62,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayDependencies:
-    """Objects of the node that a gateway uses."""
+    """Objects of the node that a gateway uses.
+
+    ``depart`` is called with the instance of a server that says in a response
+    that it is leaving.
+    """
 
     lifecycle: ServerLifecycle
     admission: Admission
@@ -70,6 +74,7 @@
     active_requests: ActiveRequests
     threshold_view: ThresholdView
     downstream_services_of: Callable[[str], list[str]]
+    depart: Callable[[str], None]
 
 
 class Gateway:
@@ -266,6 +271,8 @@
             rate_limit=signals.rate_limit,
             leaving=signals.is_leaving,
         )
+        if signals.is_leaving:
+            self._deps.depart(self.process.instance)
 
     def _classify(self, response: HttpResponse) -> Outcome:
         """Return the outcome that a response of the server stands for."""
--- a/bergamotmount/forwarding/localserver.py
+++ b/bergamotmount/forwarding/localserver.py
@@ -93,9 +93,12 @@
         return effect
 
     def depart(self, instance: str) -> None:
-        """Drain the server if the process that departs is the current one."""
+        """Drain the server if the process that departs is the current one.
+
+        It departs with an announcement, or by saying so in a response.
+        """
         if self._announcement_order.mark_departed(instance):
-            _log.info('Server {} announced its departure.', instance)
+            _log.info('Server {} is leaving.', instance)
             self.lifecycle.drain()
 
     def check(self) -> None:
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -260,6 +260,7 @@
                 self.active_requests,
                 self.threshold_view,
                 self._downstream_services_of,
+                self.local_server.depart,
             ),
             self.options.header_names,
             counters,
