--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -15,6 +15,7 @@
 from bergamotmount.clock import Clock
 from bergamotmount.counters import Counters
 from bergamotmount.decisionlog import DecisionLog
+from bergamotmount.fingerprint import fingerprint
 from bergamotmount.forwarding.activerequests import (
     ActiveRequest,
     ActiveRequests,
@@ -222,6 +223,7 @@
                 'broken',
                 request=call.root,
                 instance=process.instance,
+                fingerprint=f'{_fingerprint_of(call):016x}',
                 cause=error.reason,
                 response_started=error.response_started,
             )
@@ -333,3 +335,9 @@
             limit=admission.limit.current(),
             service_ms=admission.service_time.current_ms(),
         )
+
+
+def _fingerprint_of(call: Call) -> int:
+    # The service isn't part of it: a policy may move the route to another.
+    subject = f'{call.operation} {call.target}'
+    return fingerprint(call.method, subject, call.body)
--- a/bergamotmount/ingress.py
+++ b/bergamotmount/ingress.py
@@ -9,13 +9,12 @@
 import asyncio
 import dataclasses
 
-import xxhash
-
 from bergamotmount.admission import Admission
 from bergamotmount.clock import Clock
 from bergamotmount.context import ActiveContexts, Context
 from bergamotmount.counters import Counters
 from bergamotmount.entrycheck import EntryCheck
+from bergamotmount.fingerprint import fingerprint
 from bergamotmount.lifecycle import ServerLifecycle, ServerState
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
@@ -114,7 +113,7 @@
             return NotRun(RefusalReason.TICKET_INVALID)
         if ticket.home != self._node:
             return Unknown(UnknownReason.HOME_UNREACHABLE)
-        match self.runtime.tickets.claim(ticket, fingerprint(pending.call)):
+        match self.runtime.tickets.claim(ticket, _fingerprint_of(pending.call)):
             case Granted():
                 return await self._run_shielded(pending, ticket)
             case Joined(settled):
@@ -253,11 +252,9 @@
                 self._counters.unknown(_ROLE, reason)
 
 
-def fingerprint(call: Call) -> int:
-    """Return a hash that distinguishes requests with the same ticket."""
-    digest = xxhash.xxh64(call.body)
-    digest.update(f'{call.method} {call.service}/{call.operation}'.encode())
-    return digest.intdigest()
+def _fingerprint_of(call: Call) -> int:
+    subject = f'{call.service}/{call.operation}'
+    return fingerprint(call.method, subject, call.body)
 
 
 def _context_of(pending: _PendingRequest) -> Context:
