--- a/bergamotmount/tests/forwardingfixture.py
+++ b/bergamotmount/tests/forwardingfixture.py
@@ -103,6 +103,8 @@
         self.received: list[HttpRequest] = []
         self.cancelled_ids: list[str] = []
         self.behaviour: Behaviour = self.answer
+        self.end_callbacks: list[Callable[[], None]] = []
+        self._ended = asyncio.Event()
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
         self.received.append(request)
@@ -111,7 +113,7 @@
             self.max_active_requests, self.active_requests
         )
         try:
-            return await self.behaviour(request)
+            return await self._serve_until_end(request)
         except asyncio.CancelledError:
             self.cancelled_ids.append(
                 header_of(request.headers, HEADER_NAMES.request_id)
@@ -120,6 +122,33 @@
         finally:
             self.active_requests -= 1
 
+    def end(self) -> None:
+        """End like a process that crashes: all its connections close."""
+        self.is_listening = False
+        self._ended.set()
+        for notify in self.end_callbacks:
+            notify()
+
+    def start(self) -> None:
+        """Start anew after an end."""
+        self._ended = asyncio.Event()
+        self.is_listening = True
+
+    async def _serve_until_end(self, request: HttpRequest) -> HttpResponse:
+        serving = asyncio.ensure_future(self.behaviour(request))
+        ended = asyncio.ensure_future(self._ended.wait())
+        try:
+            await asyncio.wait(
+                (serving, ended), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            ended.cancel()
+            if not serving.done():
+                serving.cancel()
+        if self._ended.is_set():
+            raise BrokenExchangeError('connection closed', False, False)
+        return serving.result()
+
     async def answer(self, request: HttpRequest) -> HttpResponse:
         await asyncio.sleep(self.service_ms / MS_PER_SECOND)
         return make_response(request)
@@ -189,6 +218,7 @@
         process_start_ms: int = 100,
         **changes,
     ) -> None:
+        """Announce the server; ``changes`` replace fields of the default."""
         fields = {'is_draining': False, 'remaining_slow_start_ms': 0, **changes}
         self.sequence = sequence or self.sequence + 1
         self.process_start_ms = process_start_ms
