Quarantine requests under which three servers have crashed

What callers saw: a service whose servers ended as fast as they started, and failures of everything that calls it, for as long as one request came again.

Cause: what bounds retries lives as long as one attempt (servers tried, the route's maximum) or knows the service only (retry budget). A request that comes again has a new id and arrives at any node, so nothing counted what it did to servers before; and a lost answer was retried at the next server whatever the reason of the loss. Class: a bound that is kept for each message instead of for what is repeated.

Change: the node beside a server that ended without a byte of a response, and refuses connections since, reports the fingerprint of each request in flight. Answers and heartbeats carry the reports; from the second crash on they are sent at once. After three crashes the gateways don't send the request any more (`quarantined`), and after two no attempt goes on to another server. An answer from any server clears a request. One node probes it, 2, 10 and 50 s after its last crash, three times at most. New optional fields on the wire.

Ruled out: blame by a lost answer alone (idle connections, lost answers and garbled responses look the same; the refused connection tells them apart); a list in the store (a call a crash, and useless while it is down); no probes (a frequent request that was in flight when three servers crashed of other causes would be refused for ten minutes).

Property tests: nodes agree whatever the order of reports, number of probes, bounded messages and table.

--- a/bergamotmount/fingerprint.py
+++ b/bergamotmount/fingerprint.py
@@ -4,7 +4,7 @@
 
 
 def fingerprint(method: str, subject: str, body: bytes) -> int:
-    """Return a hash of what a request asks for.
+    """Return a hash of what a request asks for, of 63 bits.
 
     ``subject`` names the operation, or the route and path, it is sent to::
 
@@ -12,4 +12,5 @@
     """
     digest = xxhash.xxh64(body)
     digest.update(f'{method} {subject}'.encode())
-    return digest.intdigest()
+    # It must fit a signed integer in messages between nodes.
+    return digest.intdigest() >> 1
--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -29,6 +29,12 @@
 )
 from bergamotmount.forwarding.latencyrouter import LatencyRouter
 from bergamotmount.forwarding.pendingrequest import PendingRequest, is_success
+from bergamotmount.forwarding.poisonrequests import (
+    MAX_CRASHES_PER_ATTEMPT,
+    MIN_CRASHES,
+    PoisonRequests,
+    forwarded_fingerprint,
+)
 from bergamotmount.forwarding.retrybudget import ServiceRetryBudget
 from bergamotmount.forwarding.routetable import Route, RouteTable, SplitPicker
 from bergamotmount.member import Member
@@ -74,6 +80,7 @@
     call: Callable[[Member, Call], Awaitable[PeerReply]]
     local_service: Callable[[], str]
     new_retry_budget: Callable[[], ServiceRetryBudget]
+    poison_requests: PoisonRequests
 
 
 class Entry:
@@ -207,9 +214,7 @@
         retry_budget = self._retry_budget(pending.service)
         retry_budget.record_request()
         while True:
-            server = self._deps.router.pick(
-                pending.service, pending.tried_nodes
-            )
+            server = self._pick_server(pending)
             if server is None:
                 if pending.refusal is None:
                     pending.refusal = NotRun(RefusalReason.NO_SERVER)
@@ -222,6 +227,34 @@
             if not self._may_retry(pending, retry_budget):
                 return self._failure_reply(pending)
 
+    def _pick_server(self, pending: PendingRequest) -> Member | None:
+        """Return the server to try next, ``None`` if none is left.
+
+        A quarantined request goes to the node that may probe it.
+        """
+        router = self._deps.router
+        if self._crashes(pending) < MIN_CRASHES:
+            return router.pick(pending.service, pending.tried_nodes)
+        prober = router.members.first_routable(pending.service)
+        if prober is None or prober.node in pending.tried_nodes:
+            return None
+        return prober
+
+    def _crashes(self, pending: PendingRequest) -> int:
+        """Return how many servers are known to have crashed under a request."""
+        poison_requests = self._deps.poison_requests
+        if poison_requests.is_empty:
+            return 0
+        request = pending.request
+        return poison_requests.crashes(
+            forwarded_fingerprint(
+                request.method,
+                pending.route.name,
+                request.target,
+                request.body,
+            )
+        )
+
     async def _attempt(
         self, pending: PendingRequest, server: Member
     ) -> Answered | None:
@@ -276,6 +309,7 @@
         for service, report in answer.thresholds.items():
             threshold_view.record_relayed(service, report)
         self._deps.downstream_services.record(pending.route.name, answer.needs)
+        self._deps.poison_requests.learn(answer.crashes)
 
     def _record_refusal(
         self,
@@ -351,6 +385,8 @@
             return NoRetryReason.DEADLINE
         if pending.servers_reached >= pending.route.max_servers:
             return NoRetryReason.NO_OTHER_SERVER
+        if self._crashes(pending) >= MAX_CRASHES_PER_ATTEMPT:
+            return NoRetryReason.SERVERS_CRASHED
         return None
 
     def _failure_reply(self, pending: PendingRequest) -> HttpReply:
--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -15,7 +15,6 @@
 from bergamotmount.clock import Clock
 from bergamotmount.counters import Counters
 from bergamotmount.decisionlog import DecisionLog
-from bergamotmount.fingerprint import fingerprint
 from bergamotmount.forwarding.activerequests import (
     ActiveRequest,
     ActiveRequests,
@@ -33,6 +32,11 @@
     NotConnectedError,
     PoolFactory,
 )
+from bergamotmount.forwarding.pendingrequest import is_success
+from bergamotmount.forwarding.poisonrequests import (
+    PoisonRequests,
+    forwarded_fingerprint,
+)
 from bergamotmount.forwarding.serverconnection import (
     BrokenExchangeError,
 )
@@ -41,6 +45,7 @@
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.reasons import RefusalReason, UnknownReason
+from bergamotmount.reports import CrashReport
 from bergamotmount.threshold import ThresholdController
 from bergamotmount.thresholdview import ThresholdView
 
@@ -54,11 +59,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerProcess:
-    """A process of the backend server: its instance id and its address."""
+    """A process of the backend server: its instance id and its address.
+
+    ``start_ms`` tells processes with the same instance id from each other.
+    """
 
     instance: str
     service: str
     address: str
+    start_ms: int = 0
+
+    @property
+    def key(self) -> str:
+        """Identifies this process among those of all hosts."""
+        return f'{self.instance}@{self.start_ms}'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +80,8 @@
     """Objects of the node that a gateway uses.
 
     ``depart`` is called with the instance of a server that says in a response
-    that it is leaving.
+    that it is leaving. ``may_probe`` tells whether this node is the one that
+    probes quarantined requests of its service.
     """
 
     lifecycle: ServerLifecycle
@@ -76,6 +91,8 @@
     threshold_view: ThresholdView
     downstream_services_of: Callable[[str], list[str]]
     depart: Callable[[str], None]
+    poison_requests: PoisonRequests
+    may_probe: Callable[[], bool]
 
 
 class Gateway:
@@ -99,6 +116,7 @@
         self._pool: ConnectionPool | None = None
         self._detached_tasks: set[asyncio.Task] = set()
         self._signals = NO_SIGNALS
+        self._refusal_check: asyncio.Task[bool] | None = None
         self.decisions = DecisionLog(clock, 'gateway')
 
     def attach_process(self, process: ServerProcess) -> None:
@@ -135,6 +153,7 @@
             service_ms=round(self._deps.admission.service_time.current_ms()),
             demand=self._deps.threshold_controller.demand_report(),
             needs=self._deps.downstream_services_of(call.operation),
+            crashes=self._crash_reports(call),
         )
 
     async def _run_call(self, call: Call, deadline_ms: float) -> Outcome:
@@ -191,9 +210,9 @@
         except NotConnectedError:
             return self._not_run(RefusalReason.NOT_SERVING)
         try:
-            refusal = self._refusal_reason(call, active.deadline_ms)
-            if refusal is not None or process is not self.process:
-                return self._not_run(refusal or RefusalReason.NOT_SERVING)
+            refusal = self._refusal_to_send(call, active.deadline_ms, process)
+            if refusal is not None:
+                return refusal
             self._deps.active_requests.add(active)
             self._counters.admitted(call.service)
             return await self._exchange(connection, call, active)
@@ -219,18 +238,14 @@
         except TimeoutError:
             return Unknown(UnknownReason.ANSWER_LATE)
         except BrokenExchangeError as error:
-            self.decisions.write(
-                'broken',
-                request=call.root,
-                instance=process.instance,
-                fingerprint=f'{_fingerprint_of(call):016x}',
-                cause=error.reason,
-                response_started=error.response_started,
-            )
+            await self._record_broken(call, process, error)
             return Unknown(UnknownReason.ANSWER_LOST)
         if process is self.process:
             self._record_signals(response, sent_ms)
-        return self._classify(response)
+        outcome = self._classify(response)
+        if is_success(outcome):
+            self._record_success(call)
+        return outcome
 
     def _pack(self, call: Call, deadline_ms: float) -> bytes:
         remaining_ms = int(deadline_ms - self._clock.now_ms())
@@ -260,6 +275,63 @@
             return connection.requests == 1
         return request_id == root
 
+    async def _record_broken(
+        self, call: Call, process: ServerProcess, error: BrokenExchangeError
+    ) -> None:
+        """Record that no response came, and whether the server crashed."""
+        has_crashed = not error.response_started and await self._is_refused()
+        self.decisions.write(
+            'broken',
+            request=call.root,
+            instance=process.instance,
+            fingerprint=f'{_fingerprint_of(call):016x}',
+            cause=error.reason,
+            response_started=error.response_started,
+            crashed=has_crashed,
+        )
+        if has_crashed:
+            self._deps.poison_requests.record_crash(
+                _fingerprint_of(call), process.key
+            )
+
+    async def _is_refused(self) -> bool:
+        """Return whether nobody listens at the server's address.
+
+        Requests that were in flight at the same crash share one check.
+        """
+        check = self._refusal_check
+        if check is None or check.done():
+            check = asyncio.create_task(self._pool.is_refused())
+            self._refusal_check = check
+        return await asyncio.shield(check)
+
+    def _quarantine(self, call: Call) -> NotRun | None:
+        """Return the refusal of a poison request, ``None`` if it is none."""
+        poison_requests = self._deps.poison_requests
+        if poison_requests.is_empty:
+            return None
+        fingerprint = _fingerprint_of(call)
+        if not poison_requests.is_quarantined(fingerprint):
+            return None
+        if self._deps.may_probe() and poison_requests.try_probe(fingerprint):
+            self.decisions.write(
+                'probe', request=call.root, fingerprint=f'{fingerprint:016x}'
+            )
+            return None
+        return NotRun(
+            RefusalReason.QUARANTINED,
+            poison_requests.retry_after_ms(fingerprint),
+        )
+
+    def _crash_reports(self, call: Call) -> list[CrashReport]:
+        if self._deps.poison_requests.is_empty:
+            return []
+        return self._deps.poison_requests.reports_on(_fingerprint_of(call))
+
+    def _record_success(self, call: Call) -> None:
+        if not self._deps.poison_requests.is_empty:
+            self._deps.poison_requests.record_answer(_fingerprint_of(call))
+
     def _record_signals(self, response: HttpResponse, sent_ms: float) -> None:
         signals = read_signals(response.headers, self._header_names)
         rate = self._deps.admission.limit.rate
@@ -307,6 +379,17 @@
             return RefusalReason.NOT_SERVING
         return None
 
+    def _refusal_to_send(
+        self, call: Call, deadline_ms: float, process: ServerProcess
+    ) -> NotRun | None:
+        """Return why an admitted call isn't sent to this process."""
+        reason = self._refusal_reason(call, deadline_ms)
+        if reason is None and process is not self.process:
+            reason = RefusalReason.NOT_SERVING
+        if reason is not None:
+            return self._not_run(reason)
+        return self._quarantine(call)
+
     def _not_run(self, reason: RefusalReason) -> NotRun:
         return NotRun(reason, self._deps.admission.retry_after_ms())
 
@@ -338,6 +421,6 @@
 
 
 def _fingerprint_of(call: Call) -> int:
-    # The service isn't part of it: a policy may move the route to another.
-    subject = f'{call.operation} {call.target}'
-    return fingerprint(call.method, subject, call.body)
+    return forwarded_fingerprint(
+        call.method, call.operation, call.target, call.body
+    )
--- a/bergamotmount/forwarding/httpclient.py
+++ b/bergamotmount/forwarding/httpclient.py
@@ -12,6 +12,9 @@
 #: Timeout of opening a connection.
 CONNECT_TIMEOUT_MS = 1000
 
+#: Timeout of finding out whether a connection is refused.
+REFUSAL_TIMEOUT_MS = 100
+
 #: Maximum idle time of a connection for a request that must not run twice.
 #: The server may have closed one that was idle for longer.
 MAX_FRESH_IDLE_MS = 400
@@ -54,6 +57,19 @@
         self._in_use.add(connection)
         return connection
 
+    async def is_refused(self) -> bool:
+        """Return whether the server's host refuses a new connection.
+
+        Nobody listens at the address then. A server that is merely too busy to
+        answer in time doesn't count.
+        """
+        try:
+            connection = await self._open(REFUSAL_TIMEOUT_MS)
+        except NotConnectedError as error:
+            return isinstance(error.__cause__, ConnectionError)
+        self.release(connection)
+        return False
+
     def release(self, connection: ServerConnection) -> None:
         """Return a connection to the pool after its exchange."""
         self._in_use.discard(connection)
@@ -79,11 +95,13 @@
             connection.close()
         self._idle.clear()
 
-    async def _open(self) -> ServerConnection:
+    async def _open(
+        self, timeout_ms: float = CONNECT_TIMEOUT_MS
+    ) -> ServerConnection:
         host, _, port = self.address.rpartition(':')
         loop = asyncio.get_running_loop()
         try:
-            async with self._clock.timeout(CONNECT_TIMEOUT_MS):
+            async with self._clock.timeout(timeout_ms):
                 _, connection = await loop.create_connection(
                     lambda: ServerConnection(self._clock, self._buffer),
                     host,
--- a/bergamotmount/forwarding/latencyrouter.py
+++ b/bergamotmount/forwarding/latencyrouter.py
@@ -91,12 +91,12 @@
 
     def pick(self, service: str, tried: Collection[str]) -> Member | None:
         """Return an untried server of a service, ``None`` if none is left."""
-        candidates = self._members.routable(service)
+        candidates = self.members.routable(service)
         if tried:
             candidates = [each for each in candidates if each.node not in tried]
         if not candidates:
             return None
-        domain = self._members.local.failure_domain
+        domain = self.members.local.failure_domain
         local = [each for each in candidates if each.failure_domain == domain]
         remote = [each for each in candidates if each.failure_domain != domain]
         sample = (*self._sample(local), *self._sample(remote))
@@ -147,7 +147,7 @@
         cost_ms = self.expected_ms(member, default_ms)
         if self._is_suspect(member.address):
             cost_ms *= SUSPECT_FACTOR
-        if member.failure_domain == self._members.local.failure_domain:
+        if member.failure_domain == self.members.local.failure_domain:
             return cost_ms
         return cost_ms * REMOTE_FACTOR + REMOTE_EXTRA_MS
 
--- a/bergamotmount/forwarding/localserver.py
+++ b/bergamotmount/forwarding/localserver.py
@@ -133,6 +133,7 @@
                 announcement.instance,
                 announcement.service,
                 announcement.address,
+                announcement.process_start_ms,
             ),
         )
         self._admission.limit.update_slots(
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -21,6 +21,7 @@
 from bergamotmount.forwarding.latencyrouter import LatencyRouter
 from bergamotmount.forwarding.localserver import LocalServer
 from bergamotmount.forwarding.options import ForwardingOptions, ForwardingPorts
+from bergamotmount.forwarding.poisonrequests import PoisonRequests
 from bergamotmount.forwarding.policysource import RoutePolicySource
 from bergamotmount.forwarding.retrybudget import (
     ServiceRetryBudget,
@@ -106,6 +107,7 @@
             options.heartbeat,
             self._fill_heartbeat,
         )
+        self.poison_requests = PoisonRequests(clock, self.heartbeats.send_now)
         self.policy_source = RoutePolicySource(
             clock,
             ports.store,
@@ -261,6 +263,8 @@
                 self.threshold_view,
                 self._downstream_services_of,
                 self.local_server.depart,
+                self.poison_requests,
+                self._may_probe,
             ),
             self.options.header_names,
             counters,
@@ -277,6 +281,7 @@
                 self.call,
                 self.local_service,
                 self._new_retry_budget,
+                self.poison_requests,
             ),
             self.options.header_names,
             counters,
@@ -326,6 +331,12 @@
             self.options.retry.slack,
         )
 
+    def _may_probe(self) -> bool:
+        """Whether this node probes quarantined requests of its service."""
+        members = self.members
+        prober = members.first_routable(members.local.service)
+        return prober is not None and prober.node == members.local_node
+
     def _on_policy(self) -> None:
         policy = self.policy_source.table.policy
         self.entry.split_picker.keep_only(policy.routes)
@@ -347,6 +358,7 @@
             for service, report in heartbeat.thresholds.items():
                 self.threshold_view.record_relayed(service, report)
             self.active_requests.call_graph.learn(heartbeat.calls)
+            self.poison_requests.learn(heartbeat.crashes)
         replies.extend(
             self.policy_source.fetch_if_behind(heartbeat.policy_offset)
         )
@@ -362,6 +374,7 @@
         heartbeat.thresholds = self.threshold_view.restricted()
         heartbeat.load_permille = self.admission.load_permille
         heartbeat.calls = self.active_requests.call_graph.calls_to_relay()
+        heartbeat.crashes = self.poison_requests.reports_to_relay()
 
     def _on_member_changed(self, _sender: object, member: Member) -> None:
         _log.info(
--- a/bergamotmount/membership.py
+++ b/bergamotmount/membership.py
@@ -113,6 +113,15 @@
             self._routable_by_service[service] = servers
         return servers
 
+    def first_routable(self, service: str) -> Member | None:
+        """Return the first of these members by name, ``None`` without any.
+
+        All nodes that know the same members agree on it.
+        """
+        return min(
+            self.routable(service), key=lambda each: each.node, default=None
+        )
+
     def alive(self) -> list[Member]:
         """Return all members that aren't gone, sorted by node name."""
         if self._alive is None:
--- a/bergamotmount/messages.py
+++ b/bergamotmount/messages.py
@@ -10,7 +10,12 @@
 from bergamotmount.member import Member
 from bergamotmount.outcomes import Outcome
 from bergamotmount.rank import ADMIT_ALL_RANK
-from bergamotmount.reports import DemandReport, ObservedCall, ThresholdReport
+from bergamotmount.reports import (
+    CrashReport,
+    DemandReport,
+    ObservedCall,
+    ThresholdReport,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,7 +58,8 @@
     other services that the node knows. ``load_permille`` is the load in
     thousandths of the server's limit, ``service_ms`` the mean service time, 0
     if unknown, ``demand`` the capacity of the server and the demand for it.
-    ``needs`` are the services that its nested calls for this request reach.
+    ``needs`` are the services that its nested calls for this request reach,
+    ``crashes`` the crashes under this request that the node knows of.
     """
 
     attempt: int
@@ -67,6 +73,7 @@
     service_ms: int = 0
     demand: DemandReport = DemandReport()
     needs: list[str] = dataclasses.field(default_factory=list)
+    crashes: list[CrashReport] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,7 +92,7 @@
     heartbeat with ``reply`` false is answered by one with ``reply`` true and
     the same ``sequence``; one that only brings updates has ``reply`` true too.
     ``calls`` are calls between routes that the sender or other nodes have
-    observed lately.
+    observed lately, ``crashes`` are crashes of servers under requests.
     """
 
     sequence: int
@@ -101,6 +108,7 @@
     buckets: list[int] = dataclasses.field(default_factory=list)
     release: str = ''
     calls: list[ObservedCall] = dataclasses.field(default_factory=list)
+    crashes: list[CrashReport] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/bergamotmount/reasons.py
+++ b/bergamotmount/reasons.py
@@ -13,6 +13,7 @@
     QUEUE_FULL = 'queue_full'
     EVICTED = 'evicted'
     RATE_LIMITED = 'rate_limited'
+    QUARANTINED = 'quarantined'
     OVER_THRESHOLD = 'over_threshold'
     DEADLINE_TOO_CLOSE = 'deadline_too_close'
     DEADLINE_PASSED = 'deadline_passed'
@@ -64,6 +65,7 @@
     DEADLINE = 'deadline'
     NO_OTHER_SERVER = 'no_other_server'
     NOT_IDEMPOTENT = 'not_idempotent'
+    SERVERS_CRASHED = 'servers_crashed'
     NOT_REFUSED_BY_LOAD = 'not_refused_by_load'
 
 
--- a/bergamotmount/reports.py
+++ b/bergamotmount/reports.py
@@ -1,4 +1,4 @@
-"""Load reports that nodes exchange.
+"""Reports that nodes exchange: on load, on calls and on crashes.
 
 The threshold of a service follows from the sums over its servers: the rate
 that they can admit, and their demand by level::
@@ -40,6 +40,18 @@
     age_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A request was in flight at a server when it crashed, ``age_ms`` ago.
+
+    An empty ``server`` reports that a server has answered the request.
+    """
+
+    fingerprint: int
+    server: str
+    age_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemandReport:
     """Capacity of one backend server, and the demand for it.
--- a/bergamotmount/routing.py
+++ b/bergamotmount/routing.py
@@ -49,7 +49,7 @@
     ) -> None:
         """Route among ``members``, from the view of the local node."""
         self._clock = clock
-        self._members = members
+        self.members = members
         self._rng = rng
         self._load_by_node: dict[str, _Load] = {}
 
@@ -58,12 +58,12 @@
 
         ``tried`` holds the names of nodes that must not be picked.
         """
-        candidates = self._members.routable(service)
+        candidates = self.members.routable(service)
         if tried:
             candidates = [each for each in candidates if each.node not in tried]
         if not candidates:
             return None
-        domain = self._members.local.failure_domain
+        domain = self.members.local.failure_domain
         local = [each for each in candidates if each.failure_domain == domain]
         best = self._less_loaded(local) if local else None
         if best is not None and self.load_permille(best) < SPILLOVER_PERMILLE:
--- a/bergamotmount/tests/forwardingfixture.py
+++ b/bergamotmount/tests/forwardingfixture.py
@@ -82,6 +82,10 @@
         self.opened += 1
         return FakeConnection(self.server)
 
+    async def is_refused(self) -> bool:
+        await asyncio.sleep(0.001)
+        return not self.server.is_listening
+
     def release(self, connection) -> None:
         """Do nothing; connections are not reused."""
 
--- a/bergamotmount/tests/test_codec.py
+++ b/bergamotmount/tests/test_codec.py
@@ -11,6 +11,7 @@
 from bergamotmount.ports import ChannelError
 from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
 from bergamotmount.reports import (
+    CrashReport,
     DemandReport,
     ObservedCall,
     ThresholdReport,
@@ -68,6 +69,7 @@
         40,
         DemandReport(12.5, (1, 0, 2, 0)),
         ['b', 'c'],
+        [CrashReport(7, 'i-1@5', 30)],
     ),
     messages.Answer(3, NotRun(RefusalReason.QUEUE_FULL, 120, 't', 'why')),
     messages.Answer(4, Unknown(UnknownReason.ANSWER_LOST)),
@@ -84,6 +86,7 @@
         [3, 0],
         '0.1.0',
         [ObservedCall('read', 'look', 40)],
+        [CrashReport(2**63 - 1, '')],
     ),
     messages.Ping(reply=True),
     messages.PolicyFetch(-1),
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -13,7 +13,12 @@
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.rank import ADMIT_ALL_RANK, LEVELS
 from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
-from bergamotmount.reports import DemandReport, ObservedCall, ThresholdReport
+from bergamotmount.reports import (
+    CrashReport,
+    DemandReport,
+    ObservedCall,
+    ThresholdReport,
+)
 from bergamotmount.wire.frames import FrameError
 from bergamotmount.wire.gen import ttypes
 
@@ -130,6 +135,7 @@
         allowed=answer.demand.allowed,
         demand=answer.demand.demand,
         needs=answer.needs,
+        crashes=_crashes_to_wire(answer.crashes),
     )
     match answer.outcome:
         case Answered(status, headers, body):
@@ -160,6 +166,7 @@
         service_ms=wire.service_ms or 0,
         demand=_demand_from_wire(wire),
         needs=wire.needs or [],
+        crashes=_crashes_from_wire(wire.crashes),
     )
 
 
@@ -256,6 +263,7 @@
         heartbeat.load_permille,
         heartbeat.buckets,
         _calls_to_wire(heartbeat.calls),
+        _crashes_to_wire(heartbeat.crashes),
     )
 
 
@@ -272,6 +280,7 @@
         buckets=wire.buckets or [],
         release=wire.release or '',
         calls=_calls_from_wire(wire.calls),
+        crashes=_crashes_from_wire(wire.crashes),
     )
 
 
@@ -293,6 +302,24 @@
     ]
 
 
+def _crashes_to_wire(crashes: list[CrashReport]) -> list[ttypes.CrashReport]:
+    return [
+        ttypes.CrashReport(crash.fingerprint, crash.server, crash.age_ms)
+        for crash in crashes
+    ]
+
+
+def _crashes_from_wire(
+    crashes: list[ttypes.CrashReport] | None,
+) -> list[CrashReport]:
+    return [
+        CrashReport(
+            _require(wire.fingerprint), wire.server or '', wire.age_ms or 0
+        )
+        for wire in crashes or ()
+    ]
+
+
 def _threshold_or_admit_all(rank: float | None) -> float:
     # Nodes of an older release don't send this field.
     return ADMIT_ALL_RANK if rank is None else rank
--- a/bergamotmount/wire/gen/ttypes.py
+++ b/bergamotmount/wire/gen/ttypes.py
@@ -364,6 +364,98 @@
         return not (self == other)
 
 
+class CrashReport(object):
+    """
+    Attributes:
+     - fingerprint
+     - server
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'server',
+        'age_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, server=None, age_ms=None,):
+        self.fingerprint = fingerprint
+        self.server = server
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 1)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 2)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Answer(object):
     """
     Attributes:
@@ -384,6 +476,7 @@
      - allowed
      - demand
      - needs
+     - crashes
 
     """
 
@@ -405,10 +498,11 @@
         'allowed',
         'demand',
         'needs',
+        'crashes',
     )
 
 
-    def __init__(self, attempt=None, outcome=None, status=None, reason=None, headers=None, body=None, tokens=None, retry_after_ms=None, thresholds=None, load_permille=None, ticket=None, detail=None, threshold=None, service_ms=None, allowed=None, demand=None, needs=None,):
+    def __init__(self, attempt=None, outcome=None, status=None, reason=None, headers=None, body=None, tokens=None, retry_after_ms=None, thresholds=None, load_permille=None, ticket=None, detail=None, threshold=None, service_ms=None, allowed=None, demand=None, needs=None, crashes=None,):
         self.attempt = attempt
         self.outcome = outcome
         self.status = status
@@ -426,6 +520,7 @@
         self.allowed = allowed
         self.demand = demand
         self.needs = needs
+        self.crashes = crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -542,6 +637,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = CrashReport()
+                        _elem36.read(iprot)
+                        self.crashes.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -571,8 +677,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.headers))
-            for iter31 in self.headers:
-                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
+            for iter37 in self.headers:
+                oprot.writeString(iter37.encode('utf-8') if sys.version_info[0] == 2 else iter37)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -590,8 +696,8 @@
         if self.thresholds is not None:
             oprot.writeFieldBegin('thresholds', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.thresholds))
-            for iter32 in self.thresholds:
-                iter32.write(oprot)
+            for iter38 in self.thresholds:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load_permille is not None:
@@ -621,15 +727,22 @@
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 16)
             oprot.writeListBegin(TType.DOUBLE, len(self.demand))
-            for iter33 in self.demand:
-                oprot.writeDouble(iter33)
+            for iter39 in self.demand:
+                oprot.writeDouble(iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.needs is not None:
             oprot.writeFieldBegin('needs', TType.LIST, 17)
             oprot.writeListBegin(TType.STRING, len(self.needs))
-            for iter34 in self.needs:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter40 in self.needs:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter41 in self.crashes:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1008,6 +1121,7 @@
      - load_permille
      - buckets
      - calls
+     - crashes
 
     """
 
@@ -1024,10 +1138,11 @@
         'load_permille',
         'buckets',
         'calls',
+        'crashes',
     )
 
 
-    def __init__(self, sequence=None, reply=None, members=None, digest=None, policy_offset=None, thresholds=None, full=None, release=None, threshold=None, load_permille=None, buckets=None, calls=None,):
+    def __init__(self, sequence=None, reply=None, members=None, digest=None, policy_offset=None, thresholds=None, full=None, release=None, threshold=None, load_permille=None, buckets=None, calls=None, crashes=None,):
         self.sequence = sequence
         self.reply = reply
         self.members = members
@@ -1040,6 +1155,7 @@
         self.load_permille = load_permille
         self.buckets = buckets
         self.calls = calls
+        self.crashes = crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1063,11 +1179,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Member()
-                        _elem40.read(iprot)
-                        self.members.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Member()
+                        _elem47.read(iprot)
+                        self.members.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1084,11 +1200,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.thresholds = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = Threshold()
-                        _elem46.read(iprot)
-                        self.thresholds.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = Threshold()
+                        _elem53.read(iprot)
+                        self.thresholds.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1115,21 +1231,32 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.buckets = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = iprot.readI64()
-                        self.buckets.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readI64()
+                        self.buckets.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.calls = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = ObservedCall()
-                        _elem58.read(iprot)
-                        self.calls.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = ObservedCall()
+                        _elem65.read(iprot)
+                        self.calls.append(_elem65)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = CrashReport()
+                        _elem71.read(iprot)
+                        self.crashes.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1154,8 +1281,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter59 in self.members:
-                iter59.write(oprot)
+            for iter72 in self.members:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1169,8 +1296,8 @@
         if self.thresholds is not None:
             oprot.writeFieldBegin('thresholds', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.thresholds))
-            for iter60 in self.thresholds:
-                iter60.write(oprot)
+            for iter73 in self.thresholds:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.full is not None:
@@ -1192,15 +1319,22 @@
         if self.buckets is not None:
             oprot.writeFieldBegin('buckets', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.buckets))
-            for iter61 in self.buckets:
-                oprot.writeI64(iter61)
+            for iter74 in self.buckets:
+                oprot.writeI64(iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter62 in self.calls:
-                iter62.write(oprot)
+            for iter75 in self.calls:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter76 in self.crashes:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1399,10 +1533,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readBinary()
-                        self.records.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readBinary()
+                        self.records.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1423,8 +1557,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.records))
-            for iter69 in self.records:
-                oprot.writeBinary(iter69)
+            for iter83 in self.records:
+                oprot.writeBinary(iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1557,6 +1691,13 @@
     (2, TType.DOUBLE, 'rank', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fingerprint', None, None, ),  # 1
+    (2, TType.STRING, 'server', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(Answer)
 Answer.thrift_spec = (
     None,  # 0
@@ -1577,6 +1718,7 @@
     (15, TType.DOUBLE, 'allowed', None, None, ),  # 15
     (16, TType.LIST, 'demand', (TType.DOUBLE, None, False), None, ),  # 16
     (17, TType.LIST, 'needs', (TType.STRING, 'UTF8', False), None, ),  # 17
+    (18, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 18
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
@@ -1619,6 +1761,7 @@
     (10, TType.I32, 'load_permille', None, None, ),  # 10
     (11, TType.LIST, 'buckets', (TType.I64, None, False), None, ),  # 11
     (12, TType.LIST, 'calls', (TType.STRUCT, [ObservedCall, None], False), None, ),  # 12
+    (13, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 13
 )
 all_structs.append(Ping)
 Ping.thrift_spec = (
--- a/bergamotmount/wire/messages.thrift
+++ b/bergamotmount/wire/messages.thrift
@@ -31,6 +31,12 @@
   3: i32 age_ms
 }
 
+struct CrashReport {
+  1: i64 fingerprint
+  2: string server
+  3: i32 age_ms
+}
+
 struct Answer {
   1: i64 attempt
   2: i16 outcome
@@ -49,6 +55,7 @@
   15: double allowed
   16: list<double> demand
   17: list<string> needs
+  18: list<CrashReport> crashes
 }
 
 struct Cancel {
@@ -87,6 +94,7 @@
   10: i32 load_permille
   11: list<i64> buckets
   12: list<ObservedCall> calls
+  13: list<CrashReport> crashes
 }
 
 struct Ping {
