Apply the slots of renewed announcements

Cause: a renewal extended the lease and nothing else, so a server that announced fewer slots went on getting requests for those of its start, and other nodes kept the old figure. On the product's own interface an announcement has always carried such a change.

Change: a renewal with other slots updates the limit and tells the other nodes.

Evidence: test_slots_that_change_while_the_server_runs failed before (16 slots known elsewhere after 3 were announced) and passes.

--- a/bergamotmount/forwarding/localserver.py
+++ b/bergamotmount/forwarding/localserver.py
@@ -156,6 +156,9 @@
         if self.lifecycle.state is ServerState.ABSENT:
             self._register(announcement)
         self.lifecycle.renew(self._lease_ms)
+        if announcement.slots != self._admission.limit.slots:
+            self._admission.limit.update_slots(announcement.slots)
+            self._announce_state(self._members.local.state)
 
     def _on_state(self, state: ServerState) -> None:
         _log.info('Server state: {}.', state)
--- a/bergamotmount/tests/test_forwarding.py
+++ b/bergamotmount/tests/test_forwarding.py
@@ -214,6 +214,26 @@
         fixture.close()
 
 
+class RenewalTest(VirtualTestCase):
+    """Renewals of an announcement carry changes of the running server."""
+
+    async def test_slots_that_change_while_the_server_runs(self):
+        """A server could get more requests than the slots it has left."""
+        fixture = await make_forwarding_fixture()
+        local = fixture.host_by_name['a1']
+        for host in fixture.host_by_name.values():
+            host.server.service_ms = 200
+        local.slots = 3
+        local.announce()
+        await asyncio.sleep(0.5)
+        known = fixture.host_by_name['b1'].node.members.member_by_node['a1']
+        self.assertEqual(known.slots, 3)
+        requests = [fixture.host_by_name['b1'].send() for _ in range(20)]
+        await asyncio.gather(*requests)
+        self.assertLessEqual(local.server.max_active_requests, 3)
+        fixture.close()
+
+
 class DepartureTest(VirtualTestCase):
     """A server receives no request after its departure is acknowledged."""
 
