Keep a server's rate limit when a bare refusal doesn't state it

A server in need that sheds a request may refuse it with a bare response. That ended the limit, and requests came unlimited until the next full response.

Change: a response without signals ends a limit only if the server signed it.

Evidence: test_refusal_that_names_no_limit failed with the change taken out and passes with it. A first test with a server that sheds nine requests in ten passed either way, as the other nodes avoid such a server; it was replaced.

--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -334,6 +334,9 @@
 
     def _record_signals(self, response: HttpResponse, sent_ms: float) -> None:
         signals = read_signals(response.headers, self._header_names)
+        if signals is NO_SIGNALS and not self._is_signed(response):
+            # A bare refusal needn't state what still holds.
+            return
         rate = self._deps.admission.limit.rate
         rate.record_response(signals.rate_limit, sent_ms)
         if signals == self._signals:
@@ -358,12 +361,16 @@
             return self._not_run(RefusalReason.NOT_SERVING)
         if header_of(headers, 'Content-Encoding') is not None:
             return Unknown(UnknownReason.ANSWER_INCOMPLETE)
-        signature = header_of(headers, self._header_names.signature)
-        if response.status in _SUCCESSES and signature is None:
+        if response.status in _SUCCESSES and not self._is_signed(response):
             return Unknown(UnknownReason.ANSWER_INCOMPLETE)
         flat = forwarded_headers(headers, CONNECTION_HEADERS)
         return Answered(response.status, flat, response.body)
 
+    def _is_signed(self, response: HttpResponse) -> bool:
+        """Return whether the server marked a response as its own."""
+        signature = header_of(response.headers, self._header_names.signature)
+        return signature is not None
+
     def _refusal_reason(
         self, call: Call, deadline_ms: float
     ) -> RefusalReason | None:
--- a/bergamotmount/tests/test_serverratelimit.py
+++ b/bergamotmount/tests/test_serverratelimit.py
@@ -6,7 +6,7 @@
 import random
 
 from bergamotmount.clock import MS_PER_SECOND, LoopClock
-from bergamotmount.forwarding.http import HttpRequest, HttpResponse
+from bergamotmount.forwarding.http import HttpRequest, HttpResponse, header_of
 from bergamotmount.ratelimit import MIN_RATE, RateLimit
 from bergamotmount.tests.forwardingfixture import (
     HEADER_NAMES,
@@ -90,6 +90,13 @@
             headers.append((HEADER_NAMES.rate_limit, str(self.rate)))
         return make_response(request, extra_headers=tuple(headers))
 
+    async def shed(self, request: HttpRequest) -> HttpResponse:
+        """Refuse without a signature and without the limit."""
+        names = HEADER_NAMES
+        request_id = header_of(request.headers, names.request_id)
+        headers = [(names.request_id, request_id), (names.not_run, '1')]
+        return HttpResponse(503, headers)
+
     def max_in_window(self, from_s: float) -> int:
         """Return the most arrivals in any window from a moment on."""
         window: collections.deque[float] = collections.deque()
@@ -193,6 +200,23 @@
         )
         self.fixture.close()
 
+    async def test_refusal_that_names_no_limit(self):
+        """A bare refusal could end a limit that still holds."""
+        self.fixture = await make_forwarding_fixture()
+        host = self.fixture.host_by_name['a1']
+        limited = LimitedServer(host, 10)
+        rate = host.node.admission.limit.rate
+        await host.send()
+        await asyncio.sleep(1)
+        host.server.behaviour = limited.shed
+        await host.send()
+        self.assertTrue(rate.is_limited)
+        limited.rate = None
+        host.server.behaviour = limited.answer
+        await self.send_for(2, 20)
+        self.assertFalse(rate.is_limited)
+        self.fixture.close()
+
     async def test_limit_that_is_no_longer_named(self):
         """A server that has recovered could stay limited."""
         self.fixture = await make_forwarding_fixture()
