Move the quarantine of requests out of the gateway

What it asks of the table of poison requests is a class of its own now; the gateway keeps the exchange and finds out whether a server crashed. Probes are logged by the part `quarantine`. No decision changes; the tests of both are unchanged.

--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -33,10 +33,7 @@
     PoolFactory,
 )
 from bergamotmount.forwarding.pendingrequest import is_success
-from bergamotmount.forwarding.poisonrequests import (
-    PoisonRequests,
-    forwarded_fingerprint,
-)
+from bergamotmount.forwarding.quarantine import Quarantine, fingerprint_of
 from bergamotmount.forwarding.serverconnection import (
     BrokenExchangeError,
 )
@@ -45,7 +42,6 @@
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.reasons import RefusalReason, UnknownReason
-from bergamotmount.reports import CrashReport
 from bergamotmount.threshold import ThresholdController
 from bergamotmount.thresholdview import ThresholdView
 
@@ -80,8 +76,7 @@
     """Objects of the node that a gateway uses.
 
     ``depart`` is called with the instance of a server that says in a response
-    that it is leaving. ``may_probe`` tells whether this node is the one that
-    probes quarantined requests of its service.
+    that it is leaving.
     """
 
     lifecycle: ServerLifecycle
@@ -91,8 +86,7 @@
     threshold_view: ThresholdView
     downstream_services_of: Callable[[str], list[str]]
     depart: Callable[[str], None]
-    poison_requests: PoisonRequests
-    may_probe: Callable[[], bool]
+    quarantine: Quarantine
 
 
 class Gateway:
@@ -153,7 +147,7 @@
             service_ms=round(self._deps.admission.service_time.current_ms()),
             demand=self._deps.threshold_controller.demand_report(),
             needs=self._deps.downstream_services_of(call.operation),
-            crashes=self._crash_reports(call),
+            crashes=self._deps.quarantine.reports_on(call),
         )
 
     async def _run_call(self, call: Call, deadline_ms: float) -> Outcome:
@@ -244,7 +238,7 @@
             self._record_signals(response, sent_ms)
         outcome = self._classify(response)
         if is_success(outcome):
-            self._record_success(call)
+            self._deps.quarantine.record_success(call)
         return outcome
 
     def _pack(self, call: Call, deadline_ms: float) -> bytes:
@@ -284,15 +278,13 @@
             'broken',
             request=call.root,
             instance=process.instance,
-            fingerprint=f'{_fingerprint_of(call):016x}',
+            fingerprint=f'{fingerprint_of(call):016x}',
             cause=error.reason,
             response_started=error.response_started,
             crashed=has_crashed,
         )
         if has_crashed:
-            self._deps.poison_requests.record_crash(
-                _fingerprint_of(call), process.key
-            )
+            self._deps.quarantine.record_crash(call, process.key)
 
     async def _is_refused(self) -> bool:
         """Return whether nobody listens at the server's address.
@@ -305,33 +297,6 @@
             self._refusal_check = check
         return await asyncio.shield(check)
 
-    def _quarantine(self, call: Call) -> NotRun | None:
-        """Return the refusal of a poison request, ``None`` if it is none."""
-        poison_requests = self._deps.poison_requests
-        if poison_requests.is_empty:
-            return None
-        fingerprint = _fingerprint_of(call)
-        if not poison_requests.is_quarantined(fingerprint):
-            return None
-        if self._deps.may_probe() and poison_requests.try_probe(fingerprint):
-            self.decisions.write(
-                'probe', request=call.root, fingerprint=f'{fingerprint:016x}'
-            )
-            return None
-        return NotRun(
-            RefusalReason.QUARANTINED,
-            poison_requests.retry_after_ms(fingerprint),
-        )
-
-    def _crash_reports(self, call: Call) -> list[CrashReport]:
-        if self._deps.poison_requests.is_empty:
-            return []
-        return self._deps.poison_requests.reports_on(_fingerprint_of(call))
-
-    def _record_success(self, call: Call) -> None:
-        if not self._deps.poison_requests.is_empty:
-            self._deps.poison_requests.record_answer(_fingerprint_of(call))
-
     def _record_signals(self, response: HttpResponse, sent_ms: float) -> None:
         signals = read_signals(response.headers, self._header_names)
         if signals is NO_SIGNALS and not self._is_signed(response):
@@ -395,7 +360,7 @@
             reason = RefusalReason.NOT_SERVING
         if reason is not None:
             return self._not_run(reason)
-        return self._quarantine(call)
+        return self._deps.quarantine.refusal_of(call)
 
     def _not_run(self, reason: RefusalReason) -> NotRun:
         return NotRun(reason, self._deps.admission.retry_after_ms())
@@ -425,9 +390,3 @@
             limit=admission.limit.current(),
             service_ms=admission.service_time.current_ms(),
         )
-
-
-def _fingerprint_of(call: Call) -> int:
-    return forwarded_fingerprint(
-        call.method, call.operation, call.target, call.body
-    )
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -23,6 +23,7 @@
 from bergamotmount.forwarding.options import ForwardingOptions, ForwardingPorts
 from bergamotmount.forwarding.poisonrequests import PoisonRequests
 from bergamotmount.forwarding.policysource import RoutePolicySource
+from bergamotmount.forwarding.quarantine import Quarantine
 from bergamotmount.forwarding.retrybudget import (
     ServiceRetryBudget,
     has_slack_share,
@@ -107,8 +108,10 @@
             options.heartbeat,
             self._fill_heartbeat,
         )
-        self.poison_requests = PoisonRequests(
-            clock, rng, self.heartbeats.send_now
+        self.quarantine = Quarantine(
+            clock,
+            PoisonRequests(clock, rng, self.heartbeats.send_now),
+            self._may_probe,
         )
         self.policy_source = RoutePolicySource(
             clock,
@@ -265,8 +268,7 @@
                 self.threshold_view,
                 self._downstream_services_of,
                 self.local_server.depart,
-                self.poison_requests,
-                self._may_probe,
+                self.quarantine,
             ),
             self.options.header_names,
             counters,
@@ -283,7 +285,7 @@
                 self.call,
                 self.local_service,
                 self._new_retry_budget,
-                self.poison_requests,
+                self.quarantine.poison_requests,
             ),
             self.options.header_names,
             counters,
@@ -360,7 +362,7 @@
             for service, report in heartbeat.thresholds.items():
                 self.threshold_view.record_relayed(service, report)
             self.active_requests.call_graph.learn(heartbeat.calls)
-            self.poison_requests.learn(heartbeat.crashes)
+            self.quarantine.poison_requests.learn(heartbeat.crashes)
         replies.extend(
             self.policy_source.fetch_if_behind(heartbeat.policy_offset)
         )
@@ -376,7 +378,7 @@
         heartbeat.thresholds = self.threshold_view.restricted()
         heartbeat.load_permille = self.admission.load_permille
         heartbeat.calls = self.active_requests.call_graph.calls_to_relay()
-        heartbeat.crashes = self.poison_requests.reports_to_relay()
+        heartbeat.crashes = self.quarantine.poison_requests.reports_to_relay()
 
     def _on_member_changed(self, _sender: object, member: Member) -> None:
         _log.info(
@@ -403,6 +405,7 @@
             self.caller_server.check_timeouts()
             self.entry.decisions.flush()
             self.gateway.decisions.flush()
+            self.quarantine.decisions.flush()
 
     def _has_pending_requests(self) -> bool:
         return bool(
