Parse the headers of callers in a module of their own

The entry had become the longest module of the path. Reading id and timeout of a request is a function with a typed result in place of a tuple.

--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -16,6 +16,7 @@
 from bergamotmount.counters import Counters
 from bergamotmount.decisionlog import DecisionLog
 from bergamotmount.forwarding.activerequests import ActiveRequests
+from bergamotmount.forwarding.callerheaders import parse_caller_headers
 from bergamotmount.forwarding.downstreamservices import DownstreamServices
 from bergamotmount.forwarding.headers import HeaderNames
 from bergamotmount.forwarding.http import (
@@ -134,20 +135,20 @@
     ) -> PendingRequest | None:
         """Return the request's state, ``None`` if its headers are invalid."""
         now_ms = self._clock.now_ms()
-        parsed = self._parse_headers(request)
-        if parsed is None:
+        caller = parse_caller_headers(request.headers, self._header_names)
+        if caller is None:
             return None
-        request_id, timeout_ms = parsed
+        timeout_ms = caller.timeout_ms
         parent = self._deps.active_requests.attribute_call(
             route.name, now_ms + timeout_ms
         )
         if parent is None:
-            rank = rank_of(route.level, request_id)
+            rank = rank_of(route.level, caller.request_id)
         else:
             rank = parent.rank
         return PendingRequest(
             request,
-            request_id,
+            caller.request_id,
             route,
             self.split_picker.pick(route),
             now_ms + min(timeout_ms, route.timeout_ms),
@@ -155,32 +156,6 @@
             parent,
         )
 
-    def _parse_headers(
-        self,
-        request: HttpRequest,
-    ) -> tuple[str, float] | None:
-        """Return request id and timeout, ``None`` for invalid headers.
-
-        Each of the two headers may occur once; the timeout must be decimal.
-        """
-        request_id = ''
-        timeout_ms = float('inf')
-        seen = set()
-        for name, text in request.headers:
-            lowered = name.lower()
-            if lowered not in self._header_names.single_valued:
-                continue
-            if lowered in seen:
-                return None
-            seen.add(lowered)
-            if lowered == self._header_names.request_id.lower():
-                request_id = text
-            elif text.isdecimal():
-                timeout_ms = int(text)
-            else:
-                return None
-        return request_id, timeout_ms
-
     async def _check_and_send(self, pending: PendingRequest) -> HttpReply:
         refusal = self._check_admission(pending)
         if refusal is not None:
