--- a/bergamotmount/forwarding/serversignals.py
+++ b/bergamotmount/forwarding/serversignals.py
@@ -1,6 +1,6 @@
 """What a backend server states about itself in its responses.
 
-A server in need states the rate of requests that it takes from all nodes
+An overloaded server states the rate of requests that it takes from all nodes
 together; one that is about to stop states that it is leaving::
 
     signals = read_signals(response.headers, HeaderNames())
--- a/bergamotmount/ratelimit.py
+++ b/bergamotmount/ratelimit.py
@@ -1,6 +1,6 @@
 """Rate limit that a backend server states, enforced by the node beside it.
 
-Load pattern: one server of a service is in need and states the rate that it
+Load pattern: one server of a service is overloaded and states the rate that it
 takes from all nodes together, while the service gets as many requests as
 before. All requests to a server pass the node beside it, so that node alone
 enforces the limit, as a token bucket, and needs no agreement with others. It
--- a/bergamotmount/tests/test_serverratelimit.py
+++ b/bergamotmount/tests/test_serverratelimit.py
@@ -22,7 +22,7 @@
 ALLOWED_FACTOR = 1.5
 ALLOWED_EXTRA = 5
 
-#: Time after a server has named its limit from which requests count, in
+#: Time after a server has stated its limit from which requests count, in
 #: seconds.
 NOTICE_S = 0.5
 
@@ -74,7 +74,7 @@
 
 
 class LimitedServer:
-    """Behaviour of a server that names a limit, and its arrivals."""
+    """Behaviour of a server that states a limit, and its arrivals."""
 
     def __init__(self, host: ForwardingHost, rate: float) -> None:
         self.rate: float | None = rate
@@ -120,7 +120,7 @@
 
 
 class ServerRateLimitTest(VirtualTestCase):
-    """A server that names a rate limit gets no more than that."""
+    """A server that states a rate limit gets no more than that."""
 
     async def send_for(
         self, seconds: float, rate: float, paths: tuple[str, ...] = ('/a/1',)
@@ -150,7 +150,7 @@
         return statuses
 
     async def test_requests_beyond_a_named_limit(self):
-        """A server in need could get as many requests as before."""
+        """An overloaded server could get as many requests as before."""
         self.fixture = await make_forwarding_fixture()
         limited = LimitedServer(self.fixture.host_by_name['a1'], 10)
         started_s = asyncio.get_running_loop().time()
@@ -162,7 +162,7 @@
         self.fixture.close()
 
     async def test_limit_of_all_servers_of_a_service(self):
-        """With all servers in need, less important requests could go first."""
+        """With all servers limited, less important requests could go first."""
         self.fixture = await make_forwarding_fixture()
         limited = [
             LimitedServer(self.fixture.host_by_name[name], 10)
