Keep quarantined requests in the store for when all nodes restart

Cause: the table of crashes lived in the nodes only. With all of them restarted at once a request that was quarantined had to crash three servers again: it was sent on 5 times later than 3 s after its third crash, 3 allowed.

Change: the nodes beside the servers that crashed write the crashes of a quarantined request into the store, and remove them when it is cleared or expires. Nodes read them at their start, with the entries of the others, at no further call. The age isn't kept, as no clock can be compared with it.

Ruled out: writing every crash (a call each); a topic of its own (a read more for each start); following it (peers tell sooner, and with the age).

Evidence: test_request_sent_on_after_all_nodes_restarted failed before (5) and passes. Records of another form among the entries are skipped, as before.

--- a/bergamotmount/forwarding/directory.py
+++ b/bergamotmount/forwarding/directory.py
@@ -11,7 +11,7 @@
 
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bergamotmount.clock import Clock
 from bergamotmount.forwarding.store import KeyedStore
@@ -19,6 +19,7 @@
 from bergamotmount.member import Member
 from bergamotmount.membership import Members
 from bergamotmount.ports import LogError
+from bergamotmount.reports import CrashReport
 
 #: Nodes that start together spread their first requests over this time.
 START_JITTER_MS = 300
@@ -48,10 +49,14 @@
         store: KeyedStore,
         members: Members,
         rng: random.Random,
+        learn_crashes: Callable[[Iterable[CrashReport]], None],
         is_first_start: bool = False,
     ) -> None:
         """Publish the local member of ``members``.
 
+        ``learn_crashes`` gets the crashes under requests that the first read
+        shows.
+
         At the first start of the whole deployment, ``is_first_start``, the
         other entries are read once they have been published.
         """
@@ -59,7 +64,9 @@
         self._store = store
         self._members = members
         self._rng = rng
+        self._learn_crashes = learn_crashes
         self._is_first_start = is_first_start
+        self._has_read = False
         self._published_era = 0
 
     async def run(self, announce: Callable[[Member], None]) -> None:
@@ -106,8 +113,12 @@
                     await self._retry_until_answered(self._publish)
 
     async def _read(self) -> None:
-        members = await self._retry_until_answered(self._store.members)
-        self._members.learn(members)
+        entries = await self._retry_until_answered(self._store.entries)
+        self._members.learn(entries.members)
+        if not self._has_read:
+            # Peers tell of all later crashes, and with their age.
+            self._has_read = True
+            self._learn_crashes(entries.crashes)
 
     async def _pause(self, pause_ms: float) -> None:
         await self._clock.sleep(pause_ms * self._rng.uniform(1, 2))
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -11,6 +11,7 @@
 from bergamotmount.admission import Admission
 from bergamotmount.forwarding.activerequests import ActiveRequests
 from bergamotmount.forwarding.announcements import Announcement
+from bergamotmount.forwarding.crashpublisher import CrashPublisher
 from bergamotmount.forwarding.directory import Directory
 from bergamotmount.forwarding.downstreamservices import DownstreamServices
 from bergamotmount.forwarding.entry import Entry, EntryDependencies
@@ -125,8 +126,12 @@
             ports.store,
             self.members,
             rng,
+            self.quarantine.poison_requests.learn,
             options.is_first_start,
         )
+        self._crash_publisher = CrashPublisher(
+            clock, ports.store, self.quarantine.poison_requests, rng
+        )
         self.local_server = LocalServer(
             clock,
             options.lease_ms,
@@ -158,6 +163,7 @@
             self.heartbeats.run,
             self.policy_source.run,
             self._follow_directory,
+            self._crash_publisher.run,
             self._run_periodic_checks,
         )
         self._tasks = [
--- a/bergamotmount/forwarding/poisonrequests.py
+++ b/bergamotmount/forwarding/poisonrequests.py
@@ -19,6 +19,7 @@
         ...  # refuse it
 """
 
+import asyncio
 import dataclasses
 import math
 import random
@@ -69,7 +70,8 @@
     """Crashes under one request since a server last answered it.
 
     ``learned_ms`` is when the newest of them was learned of, ``probed_ms``
-    when the request was probed.
+    when the request was probed. ``is_own`` tells that a server of this host
+    was one of those that crashed, so that this node keeps the store up to date.
     """
 
     crash_ms_by_server: dict[str, float] = dataclasses.field(
@@ -78,6 +80,7 @@
     cleared_ms: float = -math.inf
     learned_ms: float = -math.inf
     probed_ms: float = -math.inf
+    is_own: bool = False
 
     @property
     def crashes(self) -> int:
@@ -148,6 +151,8 @@
         self._rng = rng
         self._on_news = on_news
         self._suspect_by_fingerprint: dict[int, _Suspect] = {}
+        #: Requests whose crashes in the store are outdated.
+        self.unpublished: asyncio.Queue[int] = asyncio.Queue()
 
     @property
     def is_empty(self) -> bool:
@@ -163,6 +168,13 @@
         """Return whether a request isn't sent to servers."""
         return self.crashes(fingerprint) >= MIN_CRASHES
 
+    def quarantined_by(self, fingerprint: int) -> list[str]:
+        """Return the servers that crashed under a request in quarantine."""
+        suspect = self._suspect_by_fingerprint.get(fingerprint)
+        if suspect is None or not suspect.is_quarantined:
+            return []
+        return list(suspect.crash_ms_by_server)
+
     def try_probe(self, fingerprint: int) -> bool:
         """Start a probe of a quarantined request; return whether it is due."""
         suspect = self._suspect_by_fingerprint[fingerprint]
@@ -181,6 +193,7 @@
 
     def record_crash(self, fingerprint: int, server: str) -> None:
         """Record that a request was in flight when a server crashed."""
+        self._suspect(fingerprint).is_own = True
         self.learn([CrashReport(fingerprint, server)])
 
     def record_answer(self, fingerprint: int) -> None:
@@ -236,6 +249,8 @@
         if not is_changed:
             return False
         suspect.learned_ms = now_ms
+        if suspect.is_own and (was_quarantined or suspect.is_quarantined):
+            self.unpublished.put_nowait(report.fingerprint)
         return was_quarantined or suspect.crashes >= MAX_CRASHES_PER_ATTEMPT
 
     def _suspect(self, fingerprint: int) -> _Suspect:
@@ -265,6 +280,8 @@
         for fingerprint, suspect in list(self._suspect_by_fingerprint.items()):
             if suspect.is_expired(now_ms):
                 self._suspect_by_fingerprint.pop(fingerprint)
+                if suspect.is_own and suspect.is_quarantined:
+                    self.unpublished.put_nowait(fingerprint)
 
     def _remove_oldest(self) -> None:
         oldest = min(
--- a/bergamotmount/forwarding/store.py
+++ b/bergamotmount/forwarding/store.py
@@ -6,6 +6,7 @@
 
 from bergamotmount.member import Member
 from bergamotmount.ports import LogError
+from bergamotmount.reports import CrashReport
 
 
 class OffsetExpiredError(LogError):
@@ -64,6 +65,17 @@
     era: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreEntries:
+    """What nodes have published: themselves, and crashes under requests.
+
+    Members are without service and slots.
+    """
+
+    members: list[Member]
+    crashes: list[CrashReport]
+
+
 class KeyedStore(Protocol):
     """Store of policy records and of the entries that nodes publish.
 
@@ -89,5 +101,13 @@
     async def remove_member(self, node: str) -> None:
         """Remove the entry of a node."""
 
-    async def members(self) -> list[Member]:
-        """Return the entries of all nodes, without service and slots."""
+    async def publish_crashes(
+        self, fingerprint: int, servers: list[str]
+    ) -> None:
+        """Publish the servers that crashed under a quarantined request."""
+
+    async def remove_crashes(self, fingerprint: int) -> None:
+        """Remove the crashes under a request."""
+
+    async def entries(self) -> StoreEntries:
+        """Return all that nodes have published."""
--- a/bergamotmount/platform/memberrecord.py
+++ b/bergamotmount/platform/memberrecord.py
@@ -5,8 +5,8 @@
 from bergamotmount.member import Member
 
 
-class MemberRecordError(Exception):
-    """A record doesn't contain the entry of a node."""
+class EntryError(Exception):
+    """A record doesn't contain the entry that its key stands for."""
 
 
 class _WireMember(msgspec.Struct, array_like=True):
@@ -34,15 +34,15 @@
 def parse_member(node: str, packed: bytes) -> Member:
     """Return the node that a record describes.
 
-    Raise :class:`MemberRecordError` when the record isn't an entry of a node.
+    Raise :class:`EntryError` when the record isn't an entry of a node.
     """
     try:
         wire = _decoder.decode(packed)
     except msgspec.MsgspecError as error:
-        raise MemberRecordError(str(error)) from error
+        raise EntryError(str(error)) from error
     host, _, port = wire.address.rpartition(':')
     if not host or not port.isdecimal():
-        raise MemberRecordError(f'{wire.address!r} is not an address')
+        raise EntryError(f'{wire.address!r} is not an address')
     return Member(
         node,
         wire.address,
--- a/bergamotmount/platform/store.py
+++ b/bergamotmount/platform/store.py
@@ -22,14 +22,21 @@
 )
 from bergamotmount.forwarding.store import (
     OffsetExpiredError,
+    StoreEntries,
     StoreEra,
     StorePage,
 )
 from bergamotmount.log import part_logger
 from bergamotmount.member import Member
 from bergamotmount.platform import names
+from bergamotmount.platform.crashrecord import (
+    crashes_key,
+    is_crashes_key,
+    pack_servers,
+    parse_crashes,
+)
 from bergamotmount.platform.memberrecord import (
-    MemberRecordError,
+    EntryError,
     pack_member,
     parse_member,
 )
@@ -110,31 +117,41 @@
 
     async def publish_member(self, member: Member) -> None:
         """Publish where a node is found, and its incarnation."""
-        await self._append_member(member.node, pack_member(member))
+        await self._append_entry(member.node, pack_member(member))
 
     async def remove_member(self, node: str) -> None:
         """Remove the entry of a node."""
-        await self._append_member(node, b'')
+        await self._append_entry(node, b'')
+
+    async def publish_crashes(
+        self, fingerprint: int, servers: list[str]
+    ) -> None:
+        """Publish the servers that crashed under a quarantined request."""
+        await self._append_entry(
+            crashes_key(fingerprint), pack_servers(servers)
+        )
+
+    async def remove_crashes(self, fingerprint: int) -> None:
+        """Remove the crashes under a request."""
+        await self._append_entry(crashes_key(fingerprint), b'')
 
-    async def members(self) -> list[Member]:
-        """Return the entries of all nodes; skip those that can't be read."""
-        members: list[Member] = []
+    async def entries(self) -> StoreEntries:
+        """Return what nodes have published; skip what can't be read."""
+        entries = StoreEntries([], [])
         after = ''
         while True:
             newest = await self._read_newest(names.MEMBERS_TOPIC, after)
             for record in newest.records:
                 try:
-                    members.append(
-                        parse_member(record.key, _decode_value(record))
-                    )
-                except (MemberRecordError, LogError) as error:
+                    _add_entry(entries, record.key, _decode_value(record))
+                except (EntryError, LogError) as error:
                     _log.warning('Entry of {} skipped: {}.', record.key, error)
             if not newest.has_more or not newest.records:
-                return members
+                return entries
             after = newest.records[-1].key
 
-    async def _append_member(self, node: str, packed: bytes) -> None:
-        record = _key_prefix(node) + packed
+    async def _append_entry(self, key: str, packed: bytes) -> None:
+        record = _key_prefix(key) + packed
         answer = await self._request(
             'POST',
             names.LOG_APPEND_PATH,
@@ -202,6 +219,13 @@
         raise LogError(f'{path}: status {response.status}')
 
 
+def _add_entry(entries: StoreEntries, key: str, packed: bytes) -> None:
+    if is_crashes_key(key):
+        entries.crashes.extend(parse_crashes(key, packed))
+    else:
+        entries.members.append(parse_member(key, packed))
+
+
 def _decode_value(record: _KeyedRecord) -> bytes:
     try:
         return base64.b64decode(record.encoded, validate=True)
--- a/bergamotmount/tests/fakestore.py
+++ b/bergamotmount/tests/fakestore.py
@@ -6,17 +6,20 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from bergamotmount.clock import MS_PER_SECOND
 from bergamotmount.forwarding.policysource import PolicyError
 from bergamotmount.forwarding.routetable import RoutePolicy
 from bergamotmount.forwarding.store import (
     OffsetExpiredError,
+    StoreEntries,
     StoreEra,
     StorePage,
 )
 from bergamotmount.member import Member
 from bergamotmount.ports import LogError
+from bergamotmount.reports import CrashReport
 
 LATENCY_S = 0.004
 
@@ -30,12 +33,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Write:
-    """An acknowledged write: a policy record, or the entry of a node."""
+    """An acknowledged write: policy record, entry of a node, or crashes."""
 
     time_s: float
     record: bytes = b''
     node: str = ''
     member: Member | None = None
+    fingerprint: int = 0
+    servers: tuple[str, ...] = ()
 
 
 class FakeStore:
@@ -62,6 +67,15 @@
         }
         return {node: member for node, member in newest.items() if member}
 
+    @property
+    def servers_by_fingerprint(self) -> dict[int, tuple[str, ...]]:
+        newest = {
+            write.fingerprint: write.servers
+            for write in self._writes
+            if write.fingerprint
+        }
+        return {key: servers for key, servers in newest.items() if servers}
+
     def publish(self, published: RoutePolicy) -> None:
         """Write a policy as its operator."""
         record = f'version {published.version}'.encode()
@@ -72,6 +86,10 @@
         """Write a record of another key to the policy's stream."""
         self._add(_Write(_now_s(), record=OTHER_KEY))
 
+    def write_crashes(self, fingerprint: int, *servers: str) -> None:
+        """Write the crashes under a request, or remove them."""
+        self._add(_Write(_now_s(), fingerprint=fingerprint, servers=servers))
+
     def write_member(self, node: str, member: Member | None) -> None:
         """Write or remove the entry of a node."""
         self._add(_Write(_now_s(), node=node, member=member))
@@ -136,23 +154,38 @@
         return StorePage(policies, len(records), self.store.era)
 
     async def publish_member(self, member: Member) -> None:
-        await self._write(member.node, member)
+        await self._write(self.store.write_member, member.node, member)
 
     async def remove_member(self, node: str) -> None:
-        await self._write(node, None)
+        await self._write(self.store.write_member, node, None)
 
-    async def members(self) -> list[Member]:
+    async def publish_crashes(
+        self, fingerprint: int, servers: list[str]
+    ) -> None:
+        await self._write(self.store.write_crashes, fingerprint, *servers)
+
+    async def remove_crashes(self, fingerprint: int) -> None:
+        await self._write(self.store.write_crashes, fingerprint)
+
+    async def entries(self) -> StoreEntries:
         await self._access()
-        return list(self.store.member_by_node.values())
+        return StoreEntries(
+            list(self.store.member_by_node.values()),
+            [
+                CrashReport(fingerprint, server)
+                for fingerprint, servers in (
+                    self.store.servers_by_fingerprint.items()
+                )
+                for server in servers
+            ],
+        )
 
-    async def _write(self, node: str, member: Member | None) -> None:
+    async def _write(self, write: Callable, *arguments: object) -> None:
         await self._access()
         if not self.loses_answers:
-            self.store.write_member(node, member)
+            write(*arguments)
             return
-        asyncio.get_running_loop().call_later(
-            self.late_s, self.store.write_member, node, member
-        )
+        asyncio.get_running_loop().call_later(self.late_s, write, *arguments)
         await asyncio.sleep(1)
         raise LogError('answer was lost')
 
--- a/bergamotmount/tests/test_crashingrequests.py
+++ b/bergamotmount/tests/test_crashingrequests.py
@@ -143,6 +143,22 @@
         await sending
         self.fixture.close()
 
+    async def test_request_sent_on_after_all_nodes_restarted(self):
+        """Nodes that all restart could have to learn by crashes again."""
+        servers = await self.make_fixture()
+        await self.send_for(10, (CRASHING_PATH,))
+        hosts = list(self.fixture.host_by_name.values())
+        for host in hosts:
+            host.kill()
+        await asyncio.sleep(1)
+        for host in hosts:
+            host.start()
+            host.announce()
+        await asyncio.sleep(3)
+        await self.send_for(40, (CRASHING_PATH,))
+        self.assertLessEqual(self.late_sends(servers), ALLOWED_RETRIES)
+        self.fixture.close()
+
     async def test_request_sent_on_by_a_restarted_node(self):
         """A node that restarts could send a known request on again."""
         servers = await self.make_fixture()
--- a/bergamotmount/tests/test_platform.py
+++ b/bergamotmount/tests/test_platform.py
@@ -20,6 +20,7 @@
 from bergamotmount.member import Member
 from bergamotmount.platform import names
 from bergamotmount.platform.control import ControlServer
+from bergamotmount.platform.crashrecord import crashes_key, pack_servers
 from bergamotmount.platform.policyrecord import parse_record
 from bergamotmount.platform.settings import (
     changed_fields,
@@ -27,6 +28,7 @@
 )
 from bergamotmount.platform.store import PlatformStore
 from bergamotmount.ports import LogError
+from bergamotmount.reports import CrashReport
 from bergamotmount.settingserror import SettingsError
 from bergamotmount.tests.forwardingfixture import ForwardingFixture
 from bergamotmount.tests.test_routetable import policy
@@ -316,7 +318,7 @@
         self.add_member_page('a', b'["a:1","r","fd-1",5]', has_more=True)
         self.add_member_page('b', b'["b:1","r","fd-2",6]', has_more=False)
         self.assertEqual(
-            await self.store.members(),
+            (await self.store.entries()).members,
             [
                 Member('a', 'a:1', 'r', 'fd-1', 5),
                 Member('b', 'b:1', 'r', 'fd-2', 6),
@@ -329,9 +331,22 @@
         for bad in (b'\xff\xfe', b'10.0.0.1:7620', b'["x","r","f",1]', b'[]'):
             self.add_member_page('bad', bad, has_more=True)
             self.add_member_page('b', b'["b:1","r","fd",6]', has_more=False)
-            members = await self.store.members()
+            members = (await self.store.entries()).members
             self.assertEqual([each.node for each in members], ['b'])
 
+    async def test_crashes_are_read_among_the_members(self):
+        """Crashes in the store could be taken for a node, or be lost."""
+        key = crashes_key(7)
+        self.add_member_page(key, pack_servers(['i-1', 'i-2']), has_more=True)
+        self.add_member_page('crashes/x', b'["i-3"]', has_more=True)
+        self.add_member_page(crashes_key(8), b'{"a": 1}', has_more=True)
+        self.add_member_page('b', b'["b:1","r","fd",6]', has_more=False)
+        entries = await self.store.entries()
+        self.assertEqual([each.node for each in entries.members], ['b'])
+        self.assertEqual(
+            entries.crashes, [CrashReport(7, 'i-1'), CrashReport(7, 'i-2')]
+        )
+
     async def test_error_status_or_invalid_body_raises_log_error(self):
         self.replies.append(HttpReply(410, [], b'{"first": 3}'))
         with self.assertRaises(OffsetExpiredError):
--- a/bergamotmount/tools/emulation/simulation.py
+++ b/bergamotmount/tools/emulation/simulation.py
@@ -26,7 +26,7 @@
     ServicePolicy,
     WeightedService,
 )
-from bergamotmount.forwarding.store import StoreEra, StorePage
+from bergamotmount.forwarding.store import StoreEntries, StoreEra, StorePage
 from bergamotmount.member import Member
 from bergamotmount.reasons import (
     NoRetryReason,
@@ -123,9 +123,17 @@
         """Remove the entry of a node."""
         self.member_by_node.pop(node, None)
 
-    async def members(self) -> list[Member]:
+    async def publish_crashes(
+        self, fingerprint: int, servers: list[str]
+    ) -> None:
+        """Do nothing: nodes of an emulation don't restart."""
+
+    async def remove_crashes(self, fingerprint: int) -> None:
+        """Do nothing, as above."""
+
+    async def entries(self) -> StoreEntries:
         """Return the entries of all nodes."""
-        return list(self.member_by_node.values())
+        return StoreEntries(list(self.member_by_node.values()), [])
 
 
 @dataclasses.dataclass(slots=True)
