Clear a request of crashes by a success only

Found while reading the diff anew. The gateway took any outcome that doesn't count against its server for an answer, so a 421 of another process, or a 504 at the deadline, cleared a request under which servers had crashed.

Change: an answer with a 2xx status clears a request, nothing else.

Evidence: test_answers_that_do_not_clear_a_request (421, 500, 504, 404) failed before, with the 421, and passes.

--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -32,7 +32,6 @@
     NotConnectedError,
     PoolFactory,
 )
-from bergamotmount.forwarding.pendingrequest import is_success
 from bergamotmount.forwarding.quarantine import Quarantine, fingerprint_of
 from bergamotmount.forwarding.serverconnection import (
     BrokenExchangeError,
@@ -237,7 +236,7 @@
         if process is self.process:
             self._record_signals(response, sent_ms)
         outcome = self._classify(response)
-        if is_success(outcome):
+        if _is_success(outcome):
             self._deps.quarantine.record_success(call)
         return outcome
 
@@ -390,3 +389,7 @@
             limit=admission.limit.current(),
             service_ms=admission.service_time.current_ms(),
         )
+
+
+def _is_success(outcome: Outcome) -> bool:
+    return isinstance(outcome, Answered) and outcome.status in _SUCCESSES
--- a/bergamotmount/tests/test_crashingrequests.py
+++ b/bergamotmount/tests/test_crashingrequests.py
@@ -5,6 +5,7 @@
 import random
 
 from bergamotmount.forwarding.http import HttpRequest, HttpResponse
+from bergamotmount.forwarding.poisonrequests import forwarded_fingerprint
 from bergamotmount.tests.forwardingfixture import (
     ForwardingFixture,
     ForwardingHost,
@@ -143,6 +144,31 @@
         await sending
         self.fixture.close()
 
+    async def test_answers_that_do_not_clear_a_request(self):
+        """Only a success shows that a server survives a request."""
+        fixture = await make_forwarding_fixture()
+        hosts = [fixture.host_by_name[name] for name in ('a1', 'a2')]
+        host = hosts[0]
+        table = host.node.quarantine.poison_requests
+        fingerprint = forwarded_fingerprint('GET', 'read', '/a/1', b'')
+        table.record_crash(fingerprint, 'i-z@1')
+        for status in (421, 500, 504, 404):
+
+            async def answer(request, status=status):
+                return make_response(request, status)
+
+            for each in hosts:
+                each.server.behaviour = answer
+                each.announce()
+            await asyncio.sleep(0.1)
+            await host.send()
+            self.assertEqual(table.crashes(fingerprint), 1, status)
+        for each in hosts:
+            each.server.behaviour = each.server.answer
+        await host.send()
+        self.assertEqual(table.crashes(fingerprint), 0)
+        fixture.close()
+
     async def test_request_sent_on_after_all_nodes_restarted(self):
         """Nodes that all restart could have to learn by crashes again."""
         servers = await self.make_fixture()
