--- a/bergamotmount/admission.py
+++ b/bergamotmount/admission.py
@@ -186,8 +186,10 @@
 
     def _schedule_refill(self) -> None:
         """Admit again when the rate limit allows the next request."""
+        if not self._waiters or self._refill_timer is not None:
+            return
         wait_ms = self._rate_limit.wait_ms()
-        if self._refill_timer is None and self._waiters and wait_ms:
+        if wait_ms:
             self._refill_timer = self._clock.call_later(
                 wait_ms, self._admit_after_refill
             )
