Name what clears a request a success, and use one pause for the store

Wording: since 2xx answers alone clear a request of its crashes, names and pages say success. No decision changes; unit tests of the quarantine pass.

--- a/bergamotmount/forwarding/crashpublisher.py
+++ b/bergamotmount/forwarding/crashpublisher.py
@@ -9,14 +9,12 @@
 from collections.abc import Iterable
 
 from bergamotmount.clock import Clock
+from bergamotmount.forwarding.directory import RETRY_MS
 from bergamotmount.forwarding.poisonrequests import PoisonRequests
 from bergamotmount.forwarding.store import KeyedStore
 from bergamotmount.log import part_logger
 from bergamotmount.ports import LogError
 
-#: Minimum pause after an error of the store; jitter up to doubles it.
-RETRY_MS = 500
-
 _log = part_logger('quarantine')
 
 
--- a/bergamotmount/forwarding/poisonrequests.py
+++ b/bergamotmount/forwarding/poisonrequests.py
@@ -10,7 +10,7 @@
 reports reach all nodes. A request under which several servers have crashed is
 quarantined: the nodes beside the servers no longer send it. Frequent requests
 may be in flight at several crashes without having caused them. Two things
-protect them: an answer of any server clears a request, and a quarantined
+protect them: a success at any server clears a request, and a quarantined
 request is probed. Only one node probes, at growing intervals and a few times
 in all, because each probe may cost a server::
 
@@ -67,7 +67,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
-    """Crashes under one request since a server last answered it.
+    """Crashes under one request since a server last ran it with success.
 
     ``learned_ms`` is when the newest of them was learned of, ``probed_ms``
     when the request was probed. ``is_own`` tells that a server of this host
@@ -196,8 +196,8 @@
         self._suspect(fingerprint).is_own = True
         self.learn([CrashReport(fingerprint, server)])
 
-    def record_answer(self, fingerprint: int) -> None:
-        """Record that a server has answered a request."""
+    def record_success(self, fingerprint: int) -> None:
+        """Record that a server has run a request with success."""
         if self.crashes(fingerprint):
             self.learn([CrashReport(fingerprint, '')])
 
--- a/bergamotmount/forwarding/quarantine.py
+++ b/bergamotmount/forwarding/quarantine.py
@@ -68,9 +68,9 @@
         self.poison_requests.record_crash(fingerprint_of(call), server)
 
     def record_success(self, call: Call) -> None:
-        """Record that the server answered a call."""
+        """Record that the server ran a call with success."""
         if not self.poison_requests.is_empty:
-            self.poison_requests.record_answer(fingerprint_of(call))
+            self.poison_requests.record_success(fingerprint_of(call))
 
     def reports_on(self, call: Call) -> list[CrashReport]:
         """Return what other nodes should know of a call."""
--- a/bergamotmount/reports.py
+++ b/bergamotmount/reports.py
@@ -44,7 +44,7 @@
 class CrashReport:
     """A request was in flight at a server when it crashed, ``age_ms`` ago.
 
-    An empty ``server`` reports that a server has answered the request.
+    An empty ``server`` reports that a server has run the request with success.
     """
 
     fingerprint: int
--- a/bergamotmount/tests/test_poisonrequests.py
+++ b/bergamotmount/tests/test_poisonrequests.py
@@ -34,7 +34,7 @@
 
 
 class QuarantineTest(VirtualTestCase):
-    """A request is quarantined by crashes, and cleared by an answer."""
+    """A request is quarantined by crashes, and cleared by a success."""
 
     async def test_crashes_of_one_server_count_once(self):
         """Reports that nodes relay in a loop could add up."""
@@ -43,13 +43,13 @@
             poison_requests.record_crash(POISON, 'i-1')
         self.assertFalse(poison_requests.is_quarantined(POISON))
 
-    async def test_answer_clears_a_request(self):
-        """A request that servers do answer could stay refused."""
+    async def test_success_clears_a_request(self):
+        """A request that servers do run could stay refused."""
         poison_requests = make_quarantined()
         relayed = poison_requests.reports_to_relay()
         self.assertTrue(poison_requests.is_quarantined(POISON))
         await asyncio.sleep(1)
-        poison_requests.record_answer(POISON)
+        poison_requests.record_success(POISON)
         self.assertFalse(poison_requests.is_quarantined(POISON))
         # The same crashes come back from a node that missed the answer.
         aged = [
