--- a/bergamotmount/adapters/plaincounters.py
+++ b/bergamotmount/adapters/plaincounters.py
@@ -14,6 +14,7 @@
     RemoteAddress,
 )
 from bergamotmount.reasons import (
+    DenialReason,
     DropReason,
     NoRetryReason,
     RefusalReason,
@@ -40,6 +41,10 @@
         """Count a refusal."""
         self.count_by_labels[f'{role}_refused', 'reason', reason] += 1
 
+    def denied(self, reason: DenialReason) -> None:
+        """Count a request without an accepted key."""
+        self.count_by_labels['denied', 'reason', reason] += 1
+
     def unknown(self, role: str, reason: UnknownReason) -> None:
         """Count an unknown outcome."""
         self.count_by_labels[f'{role}_unknown', 'reason', reason] += 1
--- a/bergamotmount/counters.py
+++ b/bergamotmount/counters.py
@@ -1,6 +1,7 @@
 """Port for counting decisions; the default implementation does nothing."""
 
 from bergamotmount.reasons import (
+    DenialReason,
     DropReason,
     NoRetryReason,
     RefusalReason,
@@ -18,6 +19,9 @@
     def refused(self, role: str, reason: RefusalReason) -> None:
         """Count a refusal by ``egress`` or ``ingress``."""
 
+    def denied(self, reason: DenialReason) -> None:
+        """Count a request without an accepted key."""
+
     def unknown(self, role: str, reason: UnknownReason) -> None:
         """Count a request whose outcome isn't known."""
 
--- a/bergamotmount/forwarding/directory.py
+++ b/bergamotmount/forwarding/directory.py
@@ -41,7 +41,10 @@
 
 
 class Directory:
-    """Publishes the entry of this node and finds those of others."""
+    """Publishes the entry of this node and finds those of others.
+
+    ``has_read`` tells that the entries have been read at least once.
+    """
 
     def __init__(
         self,
@@ -66,7 +69,7 @@
         self._rng = rng
         self._learn_crashes = learn_crashes
         self._is_first_start = is_first_start
-        self._has_read = False
+        self.has_read = False
         self._published_era = 0
 
     async def run(self, announce: Callable[[Member], None]) -> None:
@@ -115,9 +118,9 @@
     async def _read(self) -> None:
         entries = await self._retry_until_answered(self._store.entries)
         self._members.learn(entries.members)
-        if not self._has_read:
+        if not self.has_read:
             # Peers tell of all later crashes, and with their age.
-            self._has_read = True
+            self.has_read = True
             self._learn_crashes(entries.crashes)
 
     async def _pause(self, pause_ms: float) -> None:
--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -14,6 +14,7 @@
 from bergamotmount.counters import Counters
 from bergamotmount.decisionlog import DecisionLog
 from bergamotmount.forwarding.activerequests import ActiveRequests
+from bergamotmount.forwarding.callercheck import CallerCheck
 from bergamotmount.forwarding.callerheaders import parse_caller_headers
 from bergamotmount.forwarding.downstreamservices import DownstreamServices
 from bergamotmount.forwarding.headers import HeaderNames
@@ -34,9 +35,12 @@
     MIN_ATTEMPT_MS,
     Sender,
 )
+from bergamotmount.organisations.identity import Denied, Identified
+from bergamotmount.organisations.organisation import Organisation
+from bergamotmount.organisations.quotas import Quotas
 from bergamotmount.outcomes import NotRun
 from bergamotmount.rank import rank_of
-from bergamotmount.reasons import RefusalReason, UnknownReason
+from bergamotmount.reasons import DenialReason, RefusalReason, UnknownReason
 from bergamotmount.thresholdview import ThresholdView
 
 #: Retry-After of a refusal that states no wait time.
@@ -48,18 +52,25 @@
 
 #: Refusals that end once servers or the policy are known again.
 _UNTIL_SERVERS_ARE_KNOWN = frozenset(
-    (RefusalReason.NO_SERVER, RefusalReason.NO_POLICY)
+    (
+        RefusalReason.NO_SERVER,
+        RefusalReason.NO_POLICY,
+        RefusalReason.NO_FRESH_POLICY,
+    )
 )
 
 #: Maximum Retry-After, as a share of the time left until the caller's deadline.
 MAX_RETRY_AFTER_SHARE = 1 / 3
 
 _BAD_REQUEST = 400
+_UNAUTHORIZED = 401
 _NOT_FOUND = 404
+_TOO_MANY_REQUESTS = 429
 _SERVER_ERROR = 500
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
+_CHALLENGE_HEADER = 'WWW-Authenticate'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +82,8 @@
     threshold_view: ThresholdView
     downstream_services: DownstreamServices
     route_table: Callable[[], RouteTable | None]
+    caller_check: CallerCheck
+    quotas: Quotas
 
 
 class Entry:
@@ -105,22 +118,31 @@
         )
         if route is None:
             return HttpReply(_NOT_FOUND)
-        pending = self._new_pending(request, route)
+        match self._deps.caller_check.check(request, route, table):
+            case Denied(reason):
+                return self._denial_reply(request, route, reason)
+            case NotRun() as refusal:
+                return self._refusal_reply(refusal)
+            case Identified(organisation):
+                pending = self._new_pending(request, route, organisation)
         if pending is None:
             return HttpReply(_BAD_REQUEST)
+        pending.removes_key = table.key_ring is not None
         try:
             reply = await self._check_and_send(pending)
         except asyncio.CancelledError:
             self._deps.active_requests.record_cancelled_call(pending.parent)
             self._count_outcome(pending, RequestOutcome.GAVE_UP)
             raise
-        self._deps.active_requests.record_answer(route.name, pending.parent)
+        if pending.organisation is None:
+            self._deps.active_requests.record_answer(route.name, pending.parent)
         return reply
 
     def _new_pending(
         self,
         request: HttpRequest,
         route: Route,
+        organisation: Organisation | None,
     ) -> PendingRequest | None:
         """Return the request's state, ``None`` if its headers are invalid."""
         now_ms = self._clock.now_ms()
@@ -128,9 +150,11 @@
         if caller is None:
             return None
         timeout_ms = caller.timeout_ms
-        parent = self._deps.active_requests.attribute_call(
-            route.name, now_ms + timeout_ms
-        )
+        parent = None
+        if organisation is None:
+            parent = self._deps.active_requests.attribute_call(
+                route.name, now_ms + timeout_ms
+            )
         if parent is None:
             rank = rank_of(route.level, caller.request_id)
         else:
@@ -145,14 +169,19 @@
             parent,
             now_ms,
             now_ms + timeout_ms,
+            organisation=organisation,
         )
 
     async def _check_and_send(self, pending: PendingRequest) -> HttpReply:
         refusal = self._check_admission(pending)
+        if refusal is None:
+            refusal = await self._deps.quotas.spend(pending.organisation)
         if refusal is not None:
             return self._refusal_reply(refusal, pending)
         answered = await self._deps.sender.send(pending)
         if answered is None:
+            if not pending.may_have_run:
+                self._deps.quotas.give_back(pending.organisation)
             return self._failure_reply(pending)
         self._count_answer(pending, answered.status)
         return HttpReply(answered.status, answered.headers, answered.body)
@@ -180,6 +209,28 @@
         wait_ms = DEFAULT_RETRY_AFTER_MS * self._rng.uniform(1, 2)
         return NotRun(RefusalReason.OVER_THRESHOLD, int(wait_ms))
 
+    def _denial_reply(
+        self, request: HttpRequest, route: Route, reason: DenialReason
+    ) -> HttpReply:
+        """Return a 401 for a request without an accepted key."""
+        names = self._header_names
+        self._counters.denied(reason)
+        self.decisions.write(
+            'denied',
+            request=header_of(request.headers, names.request_id) or '',
+            route=route.name,
+            reason=reason,
+        )
+        self.totals.record(
+            OutcomeKey(
+                route.name,
+                call=False,
+                outcome=RequestOutcome.DENIED,
+                reason=reason,
+            )
+        )
+        return HttpReply(_UNAUTHORIZED, [_CHALLENGE_HEADER, names.key_scheme])
+
     def _failure_reply(self, pending: PendingRequest) -> HttpReply:
         """Return the reply after the last attempt failed."""
         if pending.may_have_run:
@@ -194,7 +245,7 @@
     def _refusal_reply(
         self, refusal: NotRun, pending: PendingRequest | None = None
     ) -> HttpReply:
-        """Return a 503 with the time after which the caller may retry."""
+        """Return a 429 or 503 with the time after which to retry."""
         self._counters.refused(ENTRY_ROLE, refusal.reason)
         wait_ms: float = refusal.retry_after_ms or DEFAULT_RETRY_AFTER_MS
         if refusal.reason in _UNTIL_SERVERS_ARE_KNOWN:
@@ -214,9 +265,9 @@
             remaining_ms = pending.caller_deadline_ms - self._clock.now_ms()
             wait_ms = min(wait_ms, max(remaining_ms, 0) * MAX_RETRY_AFTER_SHARE)
         seconds = f'{int(wait_ms) / MS_PER_SECOND:.3f}'
-        return HttpReply(
-            _UNAVAILABLE, [self._header_names.retry_after, seconds]
-        )
+        is_over_quota = refusal.reason is RefusalReason.OVER_QUOTA
+        status = _TOO_MANY_REQUESTS if is_over_quota else _UNAVAILABLE
+        return HttpReply(status, [self._header_names.retry_after, seconds])
 
     def _count_answer(self, pending: PendingRequest, status: int) -> None:
         elapsed_ms = self._clock.now_ms() - pending.received_ms
--- a/bergamotmount/forwarding/http.py
+++ b/bergamotmount/forwarding/http.py
@@ -82,6 +82,11 @@
     return None
 
 
+def encode_header(text: str) -> str:
+    """Return a text as in a header: its UTF-8 bytes, one per character."""
+    return text.encode().decode('latin-1')
+
+
 def forwarded_headers(
     headers: Iterable[tuple[str, str]],
     dropped: frozenset[str],
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -23,7 +23,7 @@
 from bergamotmount.forwarding.localserver import LocalServer
 from bergamotmount.forwarding.options import ForwardingOptions, ForwardingPorts
 from bergamotmount.forwarding.poisonrequests import PoisonRequests
-from bergamotmount.forwarding.policysource import RoutePolicySource
+from bergamotmount.forwarding.policyaccess import PolicyAccess
 from bergamotmount.forwarding.quarantine import Quarantine
 from bergamotmount.forwarding.retrybudget import (
     ServiceRetryBudget,
@@ -44,7 +44,10 @@
     Message,
     PolicyFetch,
     PolicyState,
+    QuotaGrant,
+    QuotaRequest,
 )
+from bergamotmount.organisations.quotas import Quotas
 from bergamotmount.ports import Lost
 from bergamotmount.ports import Reply as PeerReply
 from bergamotmount.reasons import DropReason
@@ -115,13 +118,8 @@
             PoisonRequests(clock, rng, self.heartbeats.send_now),
             self._may_probe,
         )
-        self.policy_source = RoutePolicySource(
-            clock,
-            ports.store,
-            ports.parser,
-            rng,
-            self._on_policy,
-        )
+        self._policy_access = PolicyAccess(options, ports, self._on_policy)
+        self.policy_source = self._policy_access.source
         self.directory = Directory(
             clock,
             ports.store,
@@ -130,6 +128,14 @@
             self.quarantine.poison_requests.learn,
             options.is_first_start,
         )
+        self._quotas = Quotas(
+            clock,
+            self.members,
+            lambda: self.directory.has_read,
+            self.links,
+            options.quota,
+            self.policy_source.organisation_by_name,
+        )
         self._crash_publisher = CrashPublisher(
             clock, ports.store, self.quarantine.poison_requests, rng
         )
@@ -163,6 +169,7 @@
         tasks = (
             self.heartbeats.run,
             self.policy_source.run,
+            self._policy_access.verifier.run,
             self._follow_directory,
             self._crash_publisher.run,
             self._run_periodic_checks,
@@ -212,6 +219,8 @@
                 return self.policy_source.answer_fetch(message)
             case PolicyState():
                 self.policy_source.install_state(message)
+            case QuotaRequest() | QuotaGrant():
+                return self._quotas.receive(message)
         return []
 
     async def call(self, server: Member, call: Call) -> PeerReply:
@@ -293,6 +302,7 @@
                 self.local_service,
                 self._new_retry_budget,
                 self.quarantine.poison_requests,
+                self._policy_access.freshness,
             ),
             self.options.header_names,
             counters,
@@ -306,6 +316,8 @@
                 self.threshold_view,
                 self.downstream_services,
                 self._route_table,
+                self._policy_access.caller_check,
+                self._quotas,
             ),
             self.options.header_names,
             counters,
@@ -383,6 +395,7 @@
                 self.threshold_view.record_relayed(service, report)
             self.active_requests.call_graph.learn(heartbeat.calls)
             self.quarantine.poison_requests.learn(heartbeat.crashes)
+        self.policy_source.learn_evidence(heartbeat)
         replies.extend(
             self.policy_source.fetch_if_behind(heartbeat.policy_offset)
         )
@@ -394,6 +407,7 @@
 
     def _fill_heartbeat(self, heartbeat: Heartbeat) -> None:
         heartbeat.policy_offset = self.policy_source.version
+        heartbeat.evidence_age_ms = self.policy_source.evidence_age_ms
         heartbeat.threshold = self.threshold_controller.threshold()
         heartbeat.thresholds = self.threshold_view.restricted()
         heartbeat.load_permille = self.admission.load_permille
@@ -420,6 +434,7 @@
         while True:
             await self.ports.clock.sleep(CHECK_INTERVAL_MS)
             self.local_server.check()
+            self._quotas.check()
             self.links.close_idle()
             self.gateway.close_idle()
             self.caller_server.check_timeouts()
--- a/bergamotmount/forwarding/options.py
+++ b/bergamotmount/forwarding/options.py
@@ -1,6 +1,7 @@
 """Options of a forwarding node, and the ports that it depends on."""
 
 import dataclasses
+import math
 import random
 
 from bergamotmount.clock import Clock
@@ -14,6 +15,7 @@
 from bergamotmount.forwarding.retrybudget import RetryBudgetOptions
 from bergamotmount.forwarding.store import KeyedStore
 from bergamotmount.heartbeats import HeartbeatTimes
+from bergamotmount.organisations.quotaowner import QuotaOptions
 from bergamotmount.ports import Dialer
 
 
@@ -36,7 +38,8 @@
 
     ``service`` is the local service until a backend server announces its
     own. A server that isn't announced for ``lease_ms`` counts as absent.
-    ``is_first_start`` tells that all nodes start at the same time.
+    Keys are accepted for ``policy_lease_ms`` after the policy was known to be
+    the newest. ``is_first_start`` tells that all nodes start at the same time.
     """
 
     service: str
@@ -46,6 +49,8 @@
     header_names: HeaderNames = HeaderNames()
     heartbeat: HeartbeatTimes = HeartbeatTimes()
     is_first_start: bool = False
+    policy_lease_ms: float = math.inf
+    quota: QuotaOptions = QuotaOptions()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bergamotmount/forwarding/outcometotals.py
+++ b/bergamotmount/forwarding/outcometotals.py
@@ -24,6 +24,7 @@
     ANSWERED = 'answered'
     LATE = 'late'
     FAILED = 'failed'
+    DENIED = 'denied'
     REFUSED = 'refused'
     UNKNOWN = 'unknown'
     GAVE_UP = 'gave_up'
--- a/bergamotmount/forwarding/pendingrequest.py
+++ b/bergamotmount/forwarding/pendingrequest.py
@@ -5,6 +5,7 @@
 from bergamotmount.forwarding.activerequests import ActiveRequest
 from bergamotmount.forwarding.http import HttpRequest
 from bergamotmount.forwarding.routetable import Route
+from bergamotmount.organisations.organisation import Organisation
 from bergamotmount.outcomes import Answered, NotRun, Outcome
 from bergamotmount.rank import ADMIT_ALL_RANK
 from bergamotmount.reasons import RefusalReason, UnknownReason
@@ -25,7 +26,9 @@
     ``shed_nodes`` those of the servers that turned it away last time.
     ``sends`` counts how often a server may have received it.
     ``threshold`` is the threshold that this request, or its root request, was
-    compared with.
+    compared with. ``organisation`` is that of the caller's key. With
+    ``removes_key`` headers that state a key or an organisation aren't
+    forwarded.
     """
 
     request: HttpRequest
@@ -45,6 +48,8 @@
     refusal: NotRun | None = None
     unknown_reason: UnknownReason | None = None
     threshold: float = ADMIT_ALL_RANK
+    organisation: Organisation | None = None
+    removes_key: bool = False
 
     @property
     def may_reach_another_server(self) -> bool:
--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -12,7 +12,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from bergamotmount import events
 from bergamotmount.clock import Clock
@@ -23,7 +23,14 @@
     StorePage,
 )
 from bergamotmount.log import part_logger
-from bergamotmount.messages import Message, PolicyFetch, PolicyState
+from bergamotmount.messages import (
+    Heartbeat,
+    Message,
+    PolicyFetch,
+    PolicyState,
+)
+from bergamotmount.organisations.freshness import PolicyFreshness
+from bergamotmount.organisations.organisation import Organisation
 from bergamotmount.ports import LogError
 
 #: Time for which a read of the store waits for a newer record.
@@ -33,6 +40,10 @@
 INITIAL_RETRY_MS = 300
 MAX_RETRY_MS = 1500
 
+#: Time after a restore of the store in which what it shows may be outdated:
+#: operators and servers write again what was lost.
+ERA_SETTLE_MS = 2000
+
 _log = part_logger('policy')
 
 
@@ -62,8 +73,12 @@
         parser: PolicyParser,
         rng: random.Random,
         on_update: Callable[[], None],
+        freshness: PolicyFreshness,
     ) -> None:
-        """Start without a policy; call ``on_update`` after each new version."""
+        """Start without a policy; call ``on_update`` after each new version.
+
+        ``freshness`` gets the evidence that the active version is the newest.
+        """
         self.table: RouteTable | None = None
         self.is_store_reachable: bool | None = None
         self._has_table = asyncio.Event()
@@ -73,6 +88,11 @@
         self._parser = parser
         self._rng = rng
         self._on_update = on_update
+        self._freshness = freshness
+        self._has_unreadable_record = False
+        self._era_risen_ms = float('-inf')
+        self._known_era: int | None = None
+        self._first_era = 0
         self._position: _Position | None = None
         self._retry_ms: float = INITIAL_RETRY_MS
 
@@ -81,6 +101,23 @@
         """Active version, -1 before the first policy."""
         return -1 if self.table is None else self.table.policy.version
 
+    @property
+    def has_keys(self) -> bool:
+        """Whether requests need keys by the active policy."""
+        return self.table is not None and self.table.key_ring is not None
+
+    def organisation_by_name(self) -> Mapping[str, Organisation]:
+        """Return the organisations that the active policy names."""
+        return {} if self.table is None else self.table.organisation_by_name
+
+    @property
+    def evidence_age_ms(self) -> float | None:
+        """Age of the evidence to pass on, ``None`` if there is none."""
+        if not self.has_keys or not self._freshness.is_required:
+            return None
+        age_ms = self._freshness.age_ms
+        return age_ms if age_ms < self._freshness.lease_ms else None
+
     def services_of(self, route: str) -> tuple[str, ...]:
         """Return the services that run the requests of a route."""
         return () if self.table is None else self.table.services_of(route)
@@ -102,6 +139,34 @@
                 self._retry_ms = INITIAL_RETRY_MS
                 self._set_reachable(is_reachable=True, detail='')
 
+    async def verify(self) -> None:
+        """Read the store without waiting, for evidence on the policy.
+
+        Raise :class:`~bergamotmount.ports.LogError` if it gives no answer.
+        """
+        position = self._position
+        sent_ms = self._clock.now_ms()
+        if position is None or position.era != self._store.era.current:
+            page = await self._store.newest_policy()
+        else:
+            try:
+                page = await self._store.follow_policy(position.offset, 0)
+            except OffsetExpiredError:
+                page = await self._store.newest_policy()
+        self._apply_page(page, sent_ms)
+
+    def learn_evidence(self, heartbeat: Heartbeat) -> None:
+        """Use the evidence of a peer on its policy.
+
+        It holds for the active policy too, unless that is older. The reply
+        was written after the heartbeat that it answers was sent.
+        """
+        age_ms = heartbeat.evidence_age_ms
+        if age_ms is None or heartbeat.echoed_ms is None:
+            return
+        if heartbeat.policy_offset <= self.version:
+            self._freshness.record(heartbeat.echoed_ms - age_ms)
+
     def fetch_if_behind(self, version: int) -> list[Message]:
         """Return a fetch request if a peer reports a newer version."""
         return [PolicyFetch(self.version)] if version > self.version else []
@@ -122,6 +187,7 @@
             policy = self._parser(record)
         except PolicyError as error:
             _log.warning('Policy record from {} rejected: {}.', source, error)
+            self._has_unreadable_record = True
             return
         if policy.version <= self.version:
             return
@@ -135,18 +201,49 @@
         self.table = RouteTable(policy)
         self._has_table.set()
         self._record = record
+        self._has_unreadable_record = False
         events.policy_accepted.send(self, offset=policy.version)
         self._on_update()
 
     async def _read(self) -> None:
         position = self._position
+        sent_ms = self._clock.now_ms()
         if position is None or position.era != self._store.era.current:
             page = await self._store.newest_policy()
             self._position = _Position(page.next_offset, page.era)
         else:
             page = await self._follow(position)
+        self._apply_page(page, sent_ms)
+
+    def _apply_page(self, page: StorePage, sent_ms: float) -> None:
         for record in page.records:
             self.apply_record(record, 'store')
+        if self._known_era is None:
+            self._known_era = page.era
+            self._first_era = page.era
+        if page.era > self._known_era:
+            self._known_era = page.era
+            self._era_risen_ms = self._clock.now_ms()
+        if self._is_evidence(page, sent_ms):
+            self._freshness.record(sent_ms)
+
+    def _is_evidence(self, page: StorePage, sent_ms: float) -> bool:
+        """Return whether a page shows that the active policy is the newest.
+
+        A store that has just come back from an older copy may still lack a
+        record that was written before. The first era that this process sees
+        isn't known to be new.
+        """
+        is_settled = (
+            page.era <= self._first_era
+            or sent_ms - self._era_risen_ms >= ERA_SETTLE_MS
+        )
+        return (
+            is_settled
+            and page.is_complete
+            and not self._has_unreadable_record
+            and self.table is not None
+        )
 
     async def _follow(self, position: _Position) -> StorePage:
         """Return the next records; stop waiting when the era rises."""
@@ -166,7 +263,7 @@
             rising.cancel()
         if page is None:
             self._position = None
-            return StorePage([], position.offset, position.era)
+            return StorePage([], position.offset, position.era, False)
         self._position = _Position(page.next_offset, page.era)
         if page.era != position.era:
             # Records before this offset may have been given out again.
--- a/bergamotmount/forwarding/routetable.py
+++ b/bergamotmount/forwarding/routetable.py
@@ -13,6 +13,9 @@
 import random
 from collections.abc import Iterable
 
+from bergamotmount.organisations.keyring import KeyRing
+from bergamotmount.organisations.organisation import Organisation
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightedService:
@@ -30,6 +33,7 @@
     ``level`` the importance, 0 first, ``max_servers`` the maximum number of
     backend servers that one request may be sent to, ``split`` the services
     that share the requests. An answer after ``goal_ms`` counts as late.
+    Requests of a route that ``is_public`` need no key.
     """
 
     name: str
@@ -41,6 +45,7 @@
     max_servers: int
     split: tuple[WeightedService, ...]
     goal_ms: float = math.inf
+    is_public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,20 +68,38 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutePolicy:
-    """A complete policy record; a higher ``version`` replaces a lower one."""
+    """A complete policy record; a higher ``version`` replaces a lower one.
+
+    With ``organisations`` requests need a key, even if there are none in it;
+    ``None`` stands for a policy without keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[str, ServicePolicy]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] | None = None
 
 
 class RouteTable:
-    """Finds the route of a request."""
+    """Finds the route of a request.
+
+    ``key_ring`` holds the keys that requests need, ``None`` if they need none,
+    ``organisation_by_name`` their holders.
+    """
 
     def __init__(self, policy: RoutePolicy) -> None:
         """Index the routes of a policy by host and prefix."""
         self.policy = policy
+        self.key_ring = (
+            None
+            if policy.organisations is None
+            else KeyRing(policy.organisations)
+        )
+        self.organisation_by_name = {
+            organisation.name: organisation
+            for organisation in policy.organisations or ()
+        }
         self._route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
         self._services_by_route_name: dict[str, tuple[str, ...]] = {}
         for route in policy.routes:
--- a/bergamotmount/forwarding/sender.py
+++ b/bergamotmount/forwarding/sender.py
@@ -19,7 +19,7 @@
 from bergamotmount.counters import Counters
 from bergamotmount.forwarding.downstreamservices import DownstreamServices
 from bergamotmount.forwarding.headers import HeaderNames
-from bergamotmount.forwarding.http import forwarded_headers
+from bergamotmount.forwarding.http import encode_header, forwarded_headers
 from bergamotmount.forwarding.latencyrouter import LatencyRouter
 from bergamotmount.forwarding.pendingrequest import PendingRequest, is_success
 from bergamotmount.forwarding.poisonrequests import (
@@ -31,6 +31,7 @@
 from bergamotmount.forwarding.retrybudget import ServiceRetryBudget
 from bergamotmount.member import Member
 from bergamotmount.messages import Answer, Call
+from bergamotmount.organisations.freshness import PolicyFreshness
 from bergamotmount.outcomes import Answered, NotRun, Unknown
 from bergamotmount.ports import Lost, NotSent
 from bergamotmount.ports import Reply as PeerReply
@@ -66,6 +67,7 @@
     local_service: Callable[[], str]
     new_retry_budget: Callable[[], ServiceRetryBudget]
     poison_requests: PoisonRequests
+    freshness: PolicyFreshness
 
 
 class Sender:
@@ -96,6 +98,9 @@
         retry_budget = self._retry_budget(pending.service)
         retry_budget.record_request(pending.is_called_by_repeat)
         while True:
+            if not self._may_send(pending):
+                pending.refusal = NotRun(RefusalReason.NO_FRESH_POLICY)
+                return None
             server = self._pick_server(pending)
             if server is None:
                 if pending.refusal is None:
@@ -109,6 +114,10 @@
             if not self._may_retry(pending, retry_budget):
                 return None
 
+    def _may_send(self, pending: PendingRequest) -> bool:
+        """Return whether the key of a request may still be accepted."""
+        return pending.organisation is None or self._deps.freshness.is_fresh
+
     def _pick_server(self, pending: PendingRequest) -> Member | None:
         """Return the server to try next, ``None`` if none is left.
 
@@ -238,12 +247,6 @@
     def _build_call(self, pending: PendingRequest) -> Call:
         request = pending.request
         remaining_ms = pending.deadline_ms - self._clock.now_ms()
-        headers = forwarded_headers(
-            request.headers,
-            self._header_names.removed_from_requests,
-        )
-        headers.append(self._header_names.caller)
-        headers.append(self._deps.local_service())
         return Call(
             attempt=next(self._attempts),
             root=pending.request_id,
@@ -253,7 +256,7 @@
             service=pending.service,
             operation=pending.route.name,
             method=request.method,
-            headers=headers,
+            headers=self._headers_to_forward(pending),
             body=request.body,
             idempotent=pending.route.is_idempotent,
             depth=int(pending.is_nested),
@@ -263,6 +266,19 @@
             is_repeat=pending.is_repeat,
         )
 
+    def _headers_to_forward(self, pending: PendingRequest) -> list[str]:
+        names = self._header_names
+        removed = names.removed_from_requests
+        if pending.removes_key:
+            removed = names.removed_with_keys
+        headers = forwarded_headers(pending.request.headers, removed)
+        headers.append(names.caller)
+        headers.append(self._deps.local_service())
+        if pending.organisation is not None:
+            headers.append(names.organisation)
+            headers.append(encode_header(pending.organisation.name))
+        return headers
+
     def _may_retry(
         self, pending: PendingRequest, retry_budget: ServiceRetryBudget
     ) -> bool:
--- a/bergamotmount/forwarding/store.py
+++ b/bergamotmount/forwarding/store.py
@@ -57,12 +57,14 @@
 class StorePage:
     """Policy records, oldest first, and the offset to read from next.
 
-    The offset is valid in this ``era`` of the store only.
+    The offset is valid in this ``era`` of the store only. ``is_complete``
+    tells that there were no further records when the store answered.
     """
 
     records: list[bytes]
     next_offset: int
     era: int = 0
+    is_complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bergamotmount/heartbeats.py
+++ b/bergamotmount/heartbeats.py
@@ -164,6 +164,8 @@
         replies = []
         if differing or not heartbeat.reply:
             reply = self._make_heartbeat(node, heartbeat.sequence)
+            if not heartbeat.reply:
+                reply.echoed_ms = heartbeat.sent_ms
             reply.members.extend(differing)
             if heartbeat.buckets and not heartbeat.reply:
                 # With these the sender can return what is newer there.
@@ -233,6 +235,7 @@
             members=[self._members.local],
             digest=self._members.digest,
             policy_offset=-1,
+            sent_ms=self._clock.now_ms(),
         )
         if peer is not None:
             heartbeat.members.extend(peer.update_by_node.values())
--- a/bergamotmount/membership.py
+++ b/bergamotmount/membership.py
@@ -34,6 +34,7 @@
         self._alive: list[Member] | None = None
         self._changed_ms = clock.now_ms()
         self._gone_ms_by_node: dict[str, float] = {}
+        self._departed: set[str] = set()
 
     @property
     def local(self) -> Member:
@@ -45,6 +46,14 @@
         """Time since the last change of the table, in milliseconds."""
         return self._clock.now_ms() - self._changed_ms
 
+    @property
+    def maybe_alive(self) -> int:
+        """Number of members that haven't said that they leave.
+
+        Those that are marked as gone count: they may only be cut off.
+        """
+        return len(self.member_by_node) - len(self._departed)
+
     def announce(
         self,
         state: MemberState,
@@ -73,6 +82,7 @@
             return None
         if update.node == self.local_node:
             return self._refute(update)
+        self._record_departure(known, update)
         self._store(update)
         return update
 
@@ -147,6 +157,17 @@
             if gone_ms < oldest_ms:
                 self._gone_ms_by_node.pop(node)
                 self.member_by_node.pop(node)
+                self._departed.discard(node)
+
+    def _record_departure(self, known: Member | None, update: Member) -> None:
+        """Record whether a member said itself that it leaves.
+
+        Other nodes that mark it as gone don't raise its version.
+        """
+        if update.state not in GONE:
+            self._departed.discard(update.node)
+        elif known is not None and update.freshness[:2] > known.freshness[:2]:
+            self._departed.add(update.node)
 
     def _refute(self, update: Member) -> Member:
         local = self.local
--- a/bergamotmount/messages.py
+++ b/bergamotmount/messages.py
@@ -95,6 +95,10 @@
     the same ``sequence``; one that only brings updates has ``reply`` true too.
     ``calls`` are calls between routes that the sender or other nodes have
     observed lately, ``crashes`` are crashes of servers under requests.
+
+    ``sent_ms`` is the time on the sender's clock, which a reply repeats as
+    ``echoed_ms``. ``evidence_age_ms`` is the time since the sender's policy was
+    known to be the newest. Each is ``None`` if there is none.
     """
 
     sequence: int
@@ -111,6 +115,41 @@
     release: str = ''
     calls: list[ObservedCall] = dataclasses.field(default_factory=list)
     crashes: list[CrashReport] = dataclasses.field(default_factory=list)
+    sent_ms: float | None = None
+    echoed_ms: float | None = None
+    evidence_age_ms: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class QuotaRequest:
+    """Asks the owner of an organisation's quota for tokens.
+
+    ``waiting`` requests need a token now. The node holds ``held`` tokens for
+    requests to come and would like to hold ``wanted``.
+    """
+
+    sequence: int
+    organisation: str
+    node: str
+    waiting: int
+    wanted: int
+    held: int
+
+
+@dataclasses.dataclass(slots=True)
+class QuotaGrant:
+    """Tokens granted for the request with this ``sequence``.
+
+    ``retry_after_ms`` is the time until a token is expected for those that
+    wait in vain. With ``is_owner`` false the receiver of the request doesn't
+    own the quota, as far as it knows.
+    """
+
+    sequence: int
+    organisation: str
+    tokens: int
+    retry_after_ms: int = 0
+    is_owner: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -155,4 +194,6 @@
     | PolicyFetch
     | PolicyRecords
     | PolicyState
+    | QuotaRequest
+    | QuotaGrant
 )
--- /dev/null
+++ b/bergamotmount/organisations/quotaowner.py
@@ -0,0 +1,172 @@
+"""Quota owner: grants the tokens of the quotas that this node owns.
+
+The bound on the requests of an organisation in a window has two parts. The
+tokens that are minted within the window are the quota itself. Tokens that
+nodes hold for requests to come may have been minted before; their number is
+bounded by what the operators tolerate beyond the quota. Half of that is left
+for the moment in which nodes disagree on the owner.
+
+Load pattern: the owner ends and another node takes over, or the owner was
+paused and another one has granted in the meantime. The new one starts without
+a burst, and grants no tokens to hold until those of the earlier owner have
+expired.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from bergamotmount.clock import Clock
+from bergamotmount.messages import QuotaGrant, QuotaRequest
+from bergamotmount.organisations.organisation import Organisation
+from bergamotmount.organisations.quotaring import QuotaRing
+from bergamotmount.organisations.tokenbucket import TokenBucket
+
+#: Time after which a node discards tokens that it holds, from its last request
+#: to the owner on.
+TOKEN_LIFETIME_MS = 5000
+
+#: Additional time for which the owner counts them, for clocks that run at
+#: different speeds.
+LIFETIME_MARGIN_MS = 500
+
+#: Part of the tolerated excess that nodes may hold.
+HELD_SHARE = 0.5
+
+#: Share of the burst that is kept for requests that need a token at once.
+RESERVED_SHARE = 0.25
+
+#: Time between two checks after which this process was suspended.
+SUSPENDED_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaOptions:
+    """What the operators tolerate beyond a quota, in any window.
+
+    ``overage`` is a share of the requests allowed in the window, ``slack`` a
+    number of requests.
+    """
+
+    window_ms: float = 5000
+    overage: float = 0
+    slack: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Holding:
+    """Tokens that a node holds, and when it asked for them."""
+
+    tokens: int
+    reported_ms: float
+
+
+class _Account:
+    """Bucket of one organisation, and the tokens that nodes hold."""
+
+    def __init__(self, clock: Clock, organisation: Organisation) -> None:
+        self.bucket = TokenBucket(clock, organisation.quota)
+        self.holding_by_node: dict[str, _Holding] = {}
+        self.opened_ms = clock.now_ms()
+
+    def held_by_others(self, node: str, now_ms: float) -> int:
+        """Return the number of tokens that nodes other than one hold."""
+        expired_ms = now_ms - TOKEN_LIFETIME_MS - LIFETIME_MARGIN_MS
+        held = 0
+        for holder, holding in list(self.holding_by_node.items()):
+            if holding.reported_ms < expired_ms:
+                self.holding_by_node.pop(holder)
+            elif holder != node:
+                held += holding.tokens
+        return held
+
+
+class QuotaOwner:
+    """Answers requests for tokens of the quotas that this node owns."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        ring: QuotaRing,
+        options: QuotaOptions,
+        find: Callable[[str], Organisation | None],
+    ) -> None:
+        """Look up organisations of the active policy by ``find``."""
+        self._clock = clock
+        self._ring = ring
+        self._options = options
+        self._find = find
+        self._account_by_name: dict[str, _Account] = {}
+        self._checked_ms = clock.now_ms()
+
+    def check(self, organisations: Iterable[Organisation]) -> None:
+        """Open and close accounts as ownership changes; call regularly."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._checked_ms > SUSPENDED_MS:
+            self._account_by_name.clear()
+        self._checked_ms = now_ms
+        owned = {
+            organisation.name: organisation
+            for organisation in organisations
+            if organisation.quota and self._ring.is_local(organisation.name)
+        }
+        for name in self._account_by_name.keys() - owned.keys():
+            self._account_by_name.pop(name)
+        for name, organisation in owned.items():
+            self._account_of(organisation).bucket.refill(self._ring.share)
+
+    def answer(self, request: QuotaRequest) -> QuotaGrant:
+        """Return the tokens granted for a request, maybe none."""
+        organisation = self._find(request.organisation)
+        if (
+            organisation is None
+            or organisation.quota is None
+            or not self._ring.is_local(organisation.name)
+        ):
+            return QuotaGrant(
+                request.sequence, request.organisation, 0, is_owner=False
+            )
+        account = self._account_of(organisation)
+        account.bucket.refill(self._ring.share)
+        granted = account.bucket.take(request.waiting)
+        ahead = 0
+        retry_after_ms: float = 0
+        if granted < request.waiting:
+            retry_after_ms = account.bucket.retry_after_ms(
+                request.waiting - granted
+            )
+        else:
+            ahead = self._grant_ahead(account, request)
+        account.holding_by_node[request.node] = _Holding(
+            request.held + ahead, self._clock.now_ms()
+        )
+        return QuotaGrant(
+            request.sequence,
+            organisation.name,
+            granted + ahead,
+            int(retry_after_ms),
+        )
+
+    def _account_of(self, organisation: Organisation) -> _Account:
+        account = self._account_by_name.get(organisation.name)
+        if account is None:
+            account = _Account(self._clock, organisation)
+            self._account_by_name[organisation.name] = account
+        account.bucket.quota = organisation.quota
+        return account
+
+    def _grant_ahead(self, account: _Account, request: QuotaRequest) -> int:
+        """Return the number of tokens granted for requests to come."""
+        now_ms = self._clock.now_ms()
+        if now_ms - account.opened_ms < TOKEN_LIFETIME_MS + LIFETIME_MARGIN_MS:
+            return 0
+        quota = account.bucket.quota
+        tolerated = (
+            self._options.overage * quota.allowed_in(self._options.window_ms)
+            + self._options.slack
+        )
+        held = account.held_by_others(request.node, now_ms) + request.held
+        room = int(tolerated * HELD_SHARE) - held
+        return account.bucket.take(
+            min(request.wanted - request.held, room),
+            reserve=quota.burst * RESERVED_SHARE,
+        )
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -27,6 +27,7 @@
 from bergamotmount.incarnation import new_incarnation
 from bergamotmount.log import part_logger, start_logging
 from bergamotmount.member import Member
+from bergamotmount.organisations.freshness import lease_for
 from bergamotmount.platform.control import ControlServer
 from bergamotmount.platform.names import HEADERS
 from bergamotmount.platform.policyrecord import parse_record
@@ -194,6 +195,8 @@
         ),
         header_names=HEADERS,
         is_first_start=settings.is_first_start,
+        policy_lease_ms=lease_for(settings.key_withdrawal_ms),
+        quota=settings.quota,
     )
 
 
--- a/bergamotmount/platform/names.py
+++ b/bergamotmount/platform/names.py
@@ -13,6 +13,8 @@
     retry_after='Retry-After',
     rate_limit='Server-Limit',
     leaving='Server-Leaving',
+    organisation='X-Tenant',
+    key_scheme='Token',
 )
 
 READY_PATH = '/bergamotmount/readyz'
--- a/bergamotmount/platform/policyrecord.py
+++ b/bergamotmount/platform/policyrecord.py
@@ -1,9 +1,11 @@
 """Decodes the operators' policy record into a route policy."""
 
 import math
+from collections.abc import Iterable
 
 import msgspec
 
+from bergamotmount.forwarding.headers import is_header_text
 from bergamotmount.forwarding.policysource import PolicyError
 from bergamotmount.forwarding.routetable import (
     CallerLimits,
@@ -12,11 +14,15 @@
     ServicePolicy,
     WeightedService,
 )
+from bergamotmount.log import part_logger
+from bergamotmount.organisations.organisation import Organisation, Quota
 
 _MS_PER_SECOND = 1000
 _HEX = 16
 _IDEMPOTENT = 'safe'
 
+_log = part_logger('policy')
+
 
 class _WireWeightedService(msgspec.Struct):
     service: str
@@ -34,6 +40,7 @@
     target_latency_s: float = math.inf
     service: str = ''
     traffic_split: list[_WireWeightedService] = []
+    public: bool = False
 
 
 class _WireService(msgspec.Struct):
@@ -41,6 +48,14 @@
     health_path: str = '/'
 
 
+class _WireOrganisation(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int = 0
+    rate_per_s: float = 0
+    burst: float = 0
+
+
 class _WireLimits(msgspec.Struct):
     max_header_bytes: int
     max_body_bytes: int
@@ -53,6 +68,7 @@
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits
+    tenants: list[_WireOrganisation] | msgspec.UnsetType = msgspec.UNSET
 
 
 _decoder = msgspec.json.Decoder(_WireRecord)
@@ -84,6 +100,9 @@
             wire.limits.header_timeout_s * _MS_PER_SECOND,
             wire.limits.idle_timeout_s * _MS_PER_SECOND,
         ),
+        None
+        if wire.tenants is msgspec.UNSET
+        else _organisations_from_wire(wire.tenants),
     )
 
 
@@ -105,4 +124,42 @@
         max_servers=wire.max_attempts,
         split=split,
         goal_ms=wire.target_latency_s * _MS_PER_SECOND,
+        is_public=wire.public,
+    )
+
+
+def _organisations_from_wire(
+    wires: Iterable[_WireOrganisation],
+) -> tuple[Organisation, ...]:
+    """Return the valid organisations.
+
+    An invalid one is left out, so its keys are unknown; the others keep theirs.
+    """
+    organisation_by_name: dict[str, Organisation] = {}
+    for wire in wires:
+        problem = _find_problem(wire)
+        if not problem and wire.name in organisation_by_name:
+            problem = 'another one has this name'
+        if problem:
+            _log.warning('Organisation {!r} left out: {}.', wire.name, problem)
+        else:
+            organisation_by_name[wire.name] = _organisation_from_wire(wire)
+    return tuple(organisation_by_name.values())
+
+
+def _find_problem(wire: _WireOrganisation) -> str:
+    if not is_header_text(wire.name):
+        return 'its name cannot be sent in a header'
+    if wire.rate_per_s < 0 or wire.burst < 0:
+        return 'its quota is negative'
+    return ''
+
+
+def _organisation_from_wire(wire: _WireOrganisation) -> Organisation:
+    has_limit = wire.rate_per_s > 0
+    return Organisation(
+        name=wire.name,
+        keys=tuple(wire.api_keys),
+        level=max(wire.priority, 0),
+        quota=Quota(wire.rate_per_s, wire.burst) if has_limit else None,
     )
--- a/bergamotmount/platform/settings.py
+++ b/bergamotmount/platform/settings.py
@@ -6,6 +6,7 @@
 import dataclasses
 import math
 
+from bergamotmount.organisations.quotaowner import QuotaOptions
 from bergamotmount.settingserror import SettingsError
 
 _MS_PER_SECOND = 1000
@@ -20,6 +21,9 @@
     for announcements of the backend server on ``control_address``.
     ``announce_interval_ms`` is the time between two announcements of a
     server, ``termination_grace_ms`` the time from SIGTERM to SIGKILL.
+    ``key_withdrawal_ms`` is the time after which no node may accept a key that
+    was withdrawn, infinite if nodes that are cut off may. ``quota`` is what is
+    tolerated beyond the quotas of organisations.
     ``is_first_start`` tells that the whole deployment starts for the first
     time.
     """
@@ -42,6 +46,8 @@
     retry_window_ms: float
     retry_slack: float
     is_first_start: bool = False
+    key_withdrawal_ms: float = math.inf
+    quota: QuotaOptions = QuotaOptions()
 
 
 def changed_fields(
@@ -92,6 +98,16 @@
         retry_window_ms=fields.seconds('terms.bounds.budget_window_s'),
         retry_slack=fields.number('terms.bounds.retry_budget_slack'),
         is_first_start=fields.flag('local_node.bootstrap'),
+        key_withdrawal_ms=(
+            fields.seconds('terms.bounds.revoke_s')
+            if fields.flag('terms.bounds.revoke_strict')
+            else math.inf
+        ),
+        quota=QuotaOptions(
+            fields.seconds('terms.bounds.quota_window_s', default='5'),
+            fields.number('terms.bounds.quota_overage', default='0'),
+            fields.number('terms.bounds.quota_slack', default='0'),
+        ),
     )
     if fields.problems:
         raise SettingsError(fields.problems)
@@ -109,8 +125,8 @@
             if separator:
                 self._text_by_name[name.strip()] = text.strip()
 
-    def text(self, name: str) -> str:
-        text = self._text_by_name.get(name, '')
+    def text(self, name: str, default: str = '') -> str:
+        text = self._text_by_name.get(name, default)
         if not text:
             self.problems.append(f'{name}: not set')
         return text
@@ -121,8 +137,8 @@
             self.problems.append(f'{name}: {text!r} is not true or false')
         return text == 'true'
 
-    def number(self, name: str) -> float:
-        text = self.text(name)
+    def number(self, name: str, default: str = '') -> float:
+        text = self.text(name, default)
         try:
             number = float(text)
         except ValueError:
@@ -133,8 +149,8 @@
             return 0
         return number
 
-    def seconds(self, name: str) -> float:
-        return self.number(name) * _MS_PER_SECOND
+    def seconds(self, name: str, default: str = '') -> float:
+        return self.number(name, default) * _MS_PER_SECOND
 
     def first_port(self, name: str) -> int:
         first, _, last = self.text(name).partition(',')
--- a/bergamotmount/platform/store.py
+++ b/bergamotmount/platform/store.py
@@ -247,7 +247,7 @@
     ]
     next_offset = min(offset + len(records), end_offset)
     policies = [policy for policy in policies if policy]
-    return StorePage(policies, next_offset, era)
+    return StorePage(policies, next_offset, era, next_offset == end_offset)
 
 
 def _key_prefix(key: str) -> bytes:
--- a/bergamotmount/reasons.py
+++ b/bergamotmount/reasons.py
@@ -21,6 +21,9 @@
     NOT_SERVING = 'not_serving'
     NO_SERVER = 'no_server'
     NO_POLICY = 'no_policy'
+    NO_FRESH_POLICY = 'no_fresh_policy'
+    OVER_QUOTA = 'over_quota'
+    QUOTA_UNAVAILABLE = 'quota_unavailable'
     UNREACHABLE = 'unreachable'
     SERVER_SHED = 'server_shed'
     TICKET_MISSING = 'ticket_missing'
@@ -37,6 +40,15 @@
     UNRECOGNIZED = 'unrecognized'
 
 
+class DenialReason(enum.StrEnum):
+    """Why a request without an accepted key was denied."""
+
+    KEY_MISSING = 'key_missing'
+    KEY_REPEATED = 'key_repeated'
+    KEY_MALFORMED = 'key_malformed'
+    KEY_UNKNOWN = 'key_unknown'
+
+
 class UnknownReason(enum.StrEnum):
     """Why it isn't known whether a request was run."""
 
--- a/bergamotmount/tests/fakes.py
+++ b/bergamotmount/tests/fakes.py
@@ -58,6 +58,9 @@
         self._on_step('admitted')
         self.counts['admitted'] += 1
 
+    def denied(self, reason) -> None:
+        self.counts[reason] += 1
+
     def refused(self, role, reason) -> None:
         self.counts[role, reason] += 1
 
--- a/bergamotmount/tests/forwardingfixture.py
+++ b/bergamotmount/tests/forwardingfixture.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -32,6 +33,7 @@
 )
 from bergamotmount.member import Member
 from bergamotmount.messages import Message
+from bergamotmount.organisations.quotaowner import QuotaOptions
 from bergamotmount.tests.fakes import (
     FakeChannel,
     FakeClock,
@@ -202,6 +204,8 @@
                 retry=RetryBudgetOptions(0.04, 0.04, 10_000),
                 stop=StopTimes(2500, 5300),
                 is_first_start=self.incarnation == 1,
+                policy_lease_ms=self.fixture.policy_lease_ms,
+                quota=self.fixture.quota,
             ),
             ForwardingPorts(
                 self.clock,
@@ -279,7 +283,13 @@
 class ForwardingFixture:
     """Hosts with forwarding nodes, their network and the store."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        policy_lease_ms: float = math.inf,
+        quota: QuotaOptions = QuotaOptions(),
+    ) -> None:
+        self.policy_lease_ms = policy_lease_ms
+        self.quota = quota
         self.store = FakeStore()
         self.network = FakeNetwork(self._ignore_step)
         self.host_by_name: dict[str, ForwardingHost] = {}
@@ -307,9 +317,9 @@
         """Ignore a step that the network reports."""
 
 
-async def make_forwarding_fixture(*routes) -> ForwardingFixture:
+async def make_forwarding_fixture(*routes, **settings) -> ForwardingFixture:
     """Start two servers each of services ``a`` and ``b`` and announce them."""
-    fixture = ForwardingFixture()
+    fixture = ForwardingFixture(**settings)
     fixture.store.publish(policy(*(routes or default_routes())))
     for name in ('a1', 'a2', 'b1', 'b2'):
         fixture.add_host(name, name[0]).announce()
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -40,6 +40,8 @@
     POLICY_FETCH = 6
     POLICY_RECORDS = 7
     POLICY_STATE = 8
+    QUOTA_REQUEST = 9
+    QUOTA_GRANT = 10
 
 
 class _WireOutcome(enum.IntEnum):
@@ -277,6 +279,9 @@
         heartbeat.buckets,
         _calls_to_wire(heartbeat.calls),
         _crashes_to_wire(heartbeat.crashes),
+        heartbeat.sent_ms,
+        heartbeat.echoed_ms,
+        heartbeat.evidence_age_ms,
     )
 
 
@@ -294,6 +299,30 @@
         release=wire.release or '',
         calls=_calls_from_wire(wire.calls),
         crashes=_crashes_from_wire(wire.crashes),
+        sent_ms=wire.sent_ms,
+        echoed_ms=wire.echoed_ms,
+        evidence_age_ms=wire.evidence_age_ms,
+    )
+
+
+def _quota_request_from_wire(wire: ttypes.QuotaRequest) -> messages.Message:
+    return messages.QuotaRequest(
+        _require(wire.sequence),
+        _require(wire.organisation),
+        _require(wire.node),
+        wire.waiting or 0,
+        wire.wanted or 0,
+        wire.held or 0,
+    )
+
+
+def _quota_grant_from_wire(wire: ttypes.QuotaGrant) -> messages.Message:
+    return messages.QuotaGrant(
+        _require(wire.sequence),
+        _require(wire.organisation),
+        _require(wire.tokens),
+        wire.retry_after_ms or 0,
+        bool(wire.is_owner),
     )
 
 
@@ -380,6 +409,29 @@
         ttypes.PolicyState,
         lambda state: ttypes.PolicyState(state.offset, state.state),
     ),
+    messages.QuotaRequest: (
+        FrameKind.QUOTA_REQUEST,
+        ttypes.QuotaRequest,
+        lambda request: ttypes.QuotaRequest(
+            request.sequence,
+            request.organisation,
+            request.node,
+            request.waiting,
+            request.wanted,
+            request.held,
+        ),
+    ),
+    messages.QuotaGrant: (
+        FrameKind.QUOTA_GRANT,
+        ttypes.QuotaGrant,
+        lambda grant: ttypes.QuotaGrant(
+            grant.sequence,
+            grant.organisation,
+            grant.tokens,
+            grant.retry_after_ms,
+            grant.is_owner,
+        ),
+    ),
 }
 
 _DECODERS: dict[int, _Decoder] = {
@@ -409,4 +461,6 @@
             _require(wire.state),
         ),
     ),
+    FrameKind.QUOTA_REQUEST: (ttypes.QuotaRequest, _quota_request_from_wire),
+    FrameKind.QUOTA_GRANT: (ttypes.QuotaGrant, _quota_grant_from_wire),
 }
--- a/bergamotmount/wire/gen/ttypes.py
+++ b/bergamotmount/wire/gen/ttypes.py
@@ -1134,6 +1134,9 @@
      - buckets
      - calls
      - crashes
+     - sent_ms
+     - echoed_ms
+     - evidence_age_ms
 
     """
 
@@ -1151,10 +1154,13 @@
         'buckets',
         'calls',
         'crashes',
+        'sent_ms',
+        'echoed_ms',
+        'evidence_age_ms',
     )
 
 
-    def __init__(self, sequence=None, reply=None, members=None, digest=None, policy_offset=None, thresholds=None, full=None, release=None, threshold=None, load_permille=None, buckets=None, calls=None, crashes=None,):
+    def __init__(self, sequence=None, reply=None, members=None, digest=None, policy_offset=None, thresholds=None, full=None, release=None, threshold=None, load_permille=None, buckets=None, calls=None, crashes=None, sent_ms=None, echoed_ms=None, evidence_age_ms=None,):
         self.sequence = sequence
         self.reply = reply
         self.members = members
@@ -1168,6 +1174,9 @@
         self.buckets = buckets
         self.calls = calls
         self.crashes = crashes
+        self.sent_ms = sent_ms
+        self.echoed_ms = echoed_ms
+        self.evidence_age_ms = evidence_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1272,6 +1281,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.DOUBLE:
+                    self.sent_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.DOUBLE:
+                    self.echoed_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.DOUBLE:
+                    self.evidence_age_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1349,6 +1373,262 @@
                 iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.DOUBLE, 14)
+            oprot.writeDouble(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.echoed_ms is not None:
+            oprot.writeFieldBegin('echoed_ms', TType.DOUBLE, 15)
+            oprot.writeDouble(self.echoed_ms)
+            oprot.writeFieldEnd()
+        if self.evidence_age_ms is not None:
+            oprot.writeFieldBegin('evidence_age_ms', TType.DOUBLE, 16)
+            oprot.writeDouble(self.evidence_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaRequest(object):
+    """
+    Attributes:
+     - sequence
+     - organisation
+     - node
+     - waiting
+     - wanted
+     - held
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'organisation',
+        'node',
+        'waiting',
+        'wanted',
+        'held',
+    )
+
+
+    def __init__(self, sequence=None, organisation=None, node=None, waiting=None, wanted=None, held=None,):
+        self.sequence = sequence
+        self.organisation = organisation
+        self.node = node
+        self.waiting = waiting
+        self.wanted = wanted
+        self.held = held
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.wanted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.held = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaRequest')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 3)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 4)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I32, 5)
+            oprot.writeI32(self.wanted)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.I32, 6)
+            oprot.writeI32(self.held)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaGrant(object):
+    """
+    Attributes:
+     - sequence
+     - organisation
+     - tokens
+     - retry_after_ms
+     - is_owner
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'organisation',
+        'tokens',
+        'retry_after_ms',
+        'is_owner',
+    )
+
+
+    def __init__(self, sequence=None, organisation=None, tokens=None, retry_after_ms=None, is_owner=None,):
+        self.sequence = sequence
+        self.organisation = organisation
+        self.tokens = tokens
+        self.retry_after_ms = retry_after_ms
+        self.is_owner = is_owner
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_owner = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaGrant')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 3)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 4)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.is_owner is not None:
+            oprot.writeFieldBegin('is_owner', TType.BOOL, 5)
+            oprot.writeBool(self.is_owner)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1775,6 +2055,28 @@
     (11, TType.LIST, 'buckets', (TType.I64, None, False), None, ),  # 11
     (12, TType.LIST, 'calls', (TType.STRUCT, [ObservedCall, None], False), None, ),  # 12
     (13, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 13
+    (14, TType.DOUBLE, 'sent_ms', None, None, ),  # 14
+    (15, TType.DOUBLE, 'echoed_ms', None, None, ),  # 15
+    (16, TType.DOUBLE, 'evidence_age_ms', None, None, ),  # 16
+)
+all_structs.append(QuotaRequest)
+QuotaRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'node', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'waiting', None, None, ),  # 4
+    (5, TType.I32, 'wanted', None, None, ),  # 5
+    (6, TType.I32, 'held', None, None, ),  # 6
+)
+all_structs.append(QuotaGrant)
+QuotaGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'tokens', None, None, ),  # 3
+    (4, TType.I32, 'retry_after_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'is_owner', None, None, ),  # 5
 )
 all_structs.append(Ping)
 Ping.thrift_spec = (
--- a/bergamotmount/wire/messages.thrift
+++ b/bergamotmount/wire/messages.thrift
@@ -96,6 +96,26 @@
   11: list<i64> buckets
   12: list<ObservedCall> calls
   13: list<CrashReport> crashes
+  14: double sent_ms
+  15: double echoed_ms
+  16: double evidence_age_ms
+}
+
+struct QuotaRequest {
+  1: i64 sequence
+  2: string organisation
+  3: string node
+  4: i32 waiting
+  5: i32 wanted
+  6: i32 held
+}
+
+struct QuotaGrant {
+  1: i64 sequence
+  2: string organisation
+  3: i32 tokens
+  4: i32 retry_after_ms
+  5: bool is_owner
 }
 
 struct Ping {
