Pass on evidence on the policy in answers, and spread the reads of the store

Cause: each node read the store for itself about once a second, because heartbeats reach the next nodes on the ring only.

Change: answers between nodes carry the evidence too, dated from when the call was sent. After each new evidence a node draws the age at which it reads, the highest of three draws, so that few read before the others hear of it. The conversion of reports moved out of the codec.

--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -41,6 +41,7 @@
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.reasons import RefusalReason, UnknownReason
+from bergamotmount.reports import PolicyEvidence
 from bergamotmount.threshold import ThresholdController
 from bergamotmount.thresholdview import ThresholdView
 
@@ -86,6 +87,7 @@
     downstream_services_of: Callable[[str], list[str]]
     depart: Callable[[str], None]
     quarantine: Quarantine
+    policy_evidence: Callable[[], PolicyEvidence | None]
 
 
 class Gateway:
@@ -147,6 +149,7 @@
             demand=self._deps.threshold_controller.demand_report(),
             needs=self._deps.downstream_services_of(call.operation),
             crashes=self._deps.quarantine.reports_on(call),
+            evidence=self._deps.policy_evidence(),
         )
 
     async def _run_call(self, call: Call, deadline_ms: float) -> Outcome:
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -287,6 +287,7 @@
                 self._downstream_services_of,
                 self.local_server.depart,
                 self.quarantine,
+                lambda: self.policy_source.evidence,
             ),
             self.options.header_names,
             counters,
@@ -303,6 +304,7 @@
                 self._new_retry_budget,
                 self.quarantine.poison_requests,
                 self._policy_access.freshness,
+                self.policy_source.learn_evidence,
             ),
             self.options.header_names,
             counters,
@@ -395,7 +397,9 @@
                 self.threshold_view.record_relayed(service, report)
             self.active_requests.call_graph.learn(heartbeat.calls)
             self.quarantine.poison_requests.learn(heartbeat.crashes)
-        self.policy_source.learn_evidence(heartbeat)
+        self.policy_source.learn_evidence(
+            heartbeat.evidence, heartbeat.echoed_ms
+        )
         replies.extend(
             self.policy_source.fetch_if_behind(heartbeat.policy_offset)
         )
@@ -407,7 +411,7 @@
 
     def _fill_heartbeat(self, heartbeat: Heartbeat) -> None:
         heartbeat.policy_offset = self.policy_source.version
-        heartbeat.evidence_age_ms = self.policy_source.evidence_age_ms
+        heartbeat.evidence = self.policy_source.evidence
         heartbeat.threshold = self.threshold_controller.threshold()
         heartbeat.thresholds = self.threshold_view.restricted()
         heartbeat.load_permille = self.admission.load_permille
--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Callable, Mapping
 
@@ -24,7 +25,6 @@
 )
 from bergamotmount.log import part_logger
 from bergamotmount.messages import (
-    Heartbeat,
     Message,
     PolicyFetch,
     PolicyState,
@@ -32,6 +32,7 @@
 from bergamotmount.organisations.freshness import PolicyFreshness
 from bergamotmount.organisations.organisation import Organisation
 from bergamotmount.ports import LogError
+from bergamotmount.reports import PolicyEvidence
 
 #: Time for which a read of the store waits for a newer record.
 LONG_POLL_MS = 20_000
@@ -111,12 +112,15 @@
         return {} if self.table is None else self.table.organisation_by_name
 
     @property
-    def evidence_age_ms(self) -> float | None:
-        """Age of the evidence to pass on, ``None`` if there is none."""
-        if not self.has_keys or not self._freshness.is_required:
+    def evidence(self) -> PolicyEvidence | None:
+        """What to pass on about the newest policy, ``None`` if nothing."""
+        freshness = self._freshness
+        if not self.has_keys or not freshness.is_required:
             return None
-        age_ms = self._freshness.age_ms
-        return age_ms if age_ms < self._freshness.lease_ms else None
+        age_ms = freshness.age_ms
+        if age_ms >= freshness.lease_ms:
+            return None
+        return PolicyEvidence(self.version, math.ceil(age_ms))
 
     def services_of(self, route: str) -> tuple[str, ...]:
         """Return the services that run the requests of a route."""
@@ -155,17 +159,18 @@
                 page = await self._store.newest_policy()
         self._apply_page(page, sent_ms)
 
-    def learn_evidence(self, heartbeat: Heartbeat) -> None:
-        """Use the evidence of a peer on its policy.
+    def learn_evidence(
+        self, evidence: PolicyEvidence | None, asked_ms: float | None
+    ) -> None:
+        """Use what a peer replied to a message sent at ``asked_ms``.
 
         It holds for the active policy too, unless that is older. The reply
-        was written after the heartbeat that it answers was sent.
+        was written after the message was sent.
         """
-        age_ms = heartbeat.evidence_age_ms
-        if age_ms is None or heartbeat.echoed_ms is None:
+        if evidence is None or asked_ms is None:
             return
-        if heartbeat.policy_offset <= self.version:
-            self._freshness.record(heartbeat.echoed_ms - age_ms)
+        if evidence.version <= self.version:
+            self._freshness.record(asked_ms - evidence.age_ms)
 
     def fetch_if_behind(self, version: int) -> list[Message]:
         """Return a fetch request if a peer reports a newer version."""
--- a/bergamotmount/forwarding/policyverifier.py
+++ b/bergamotmount/forwarding/policyverifier.py
@@ -1,8 +1,10 @@
 """Policy verifier: reads the store when the evidence on the policy gets old.
 
-The evidence of other nodes arrives in heartbeats. As long as that is recent
-enough this node doesn't read, so the reads of all nodes grow much slower than
-their number. A node that hears from no other node reads for itself.
+The evidence of other nodes arrives in answers and heartbeats. After each new
+evidence a node draws the age at which it will read for itself. Few nodes draw
+a low age; what they read reaches the others before their turn. The reads of
+all nodes therefore grow much slower than their number, and a node that hears
+from no other node still reads in time.
 """
 
 import random
@@ -13,11 +15,16 @@
 from bergamotmount.organisations.freshness import PolicyFreshness
 from bergamotmount.ports import LogError
 
-#: Age of the evidence at which a node reads the store, as a share of the lease.
-READ_AGE_SHARE = 0.25
+#: Range of the age of the evidence at which a node reads the store, as shares
+#: of the lease.
+MIN_READ_AGE_SHARE = 0.1
+MAX_READ_AGE_SHARE = 0.5
 
-#: Range of the factor that spreads the reads of different nodes.
-READ_AGE_JITTER = (0.7, 1.3)
+#: Out of this number of draws, the highest age counts.
+DRAWS = 3
+
+#: Minimum pause after a read that gave no evidence.
+FRUITLESS_READ_PAUSE_MS = 500
 
 #: Interval at which a node without keys in its policy looks for some.
 IDLE_INTERVAL_MS = 500
@@ -49,18 +56,24 @@
     async def run(self) -> None:
         """Verify the policy until cancelled."""
         while True:
-            pause_ms = self._pause_before_read_ms()
-            if pause_ms > 0:
-                await self._clock.sleep(pause_ms)
-            else:
+            verified_ms = self._freshness.verified_ms
+            await self._clock.sleep(self._pause_before_read_ms())
+            is_unchanged = self._freshness.verified_ms == verified_ms
+            if self._is_needed and is_unchanged:
                 await self._read()
 
+    @property
+    def _is_needed(self) -> bool:
+        return self._freshness.is_required and self._source.has_keys
+
     def _pause_before_read_ms(self) -> float:
-        if not self._freshness.is_required or not self._source.has_keys:
+        if not self._is_needed:
             return IDLE_INTERVAL_MS
-        read_age_ms = self._freshness.lease_ms * READ_AGE_SHARE
-        read_age_ms *= self._rng.uniform(*READ_AGE_JITTER)
-        return read_age_ms - self._freshness.age_ms
+        drawn = max(self._rng.random() for _ in range(DRAWS))
+        span = MAX_READ_AGE_SHARE - MIN_READ_AGE_SHARE
+        read_age_share = MIN_READ_AGE_SHARE + span * drawn
+        read_age_ms = self._freshness.lease_ms * read_age_share
+        return max(read_age_ms - self._freshness.age_ms, 0)
 
     async def _read(self) -> None:
         try:
@@ -70,11 +83,8 @@
             await self._clock.sleep(self._next_retry_ms())
         else:
             self._retry_ms = INITIAL_RETRY_MS
-            await self._clock.sleep(self._pause_after_read_ms())
-
-    def _pause_after_read_ms(self) -> float:
-        """Return the pause after a read, whether or not it gave evidence."""
-        return self._freshness.lease_ms * READ_AGE_SHARE / 2
+            if self._freshness.age_ms > FRUITLESS_READ_PAUSE_MS:
+                await self._clock.sleep(FRUITLESS_READ_PAUSE_MS)
 
     def _next_retry_ms(self) -> float:
         pause_ms = self._retry_ms * self._rng.uniform(0.5, 1)
--- a/bergamotmount/forwarding/sender.py
+++ b/bergamotmount/forwarding/sender.py
@@ -41,6 +41,7 @@
     RetryReason,
     UnknownReason,
 )
+from bergamotmount.reports import PolicyEvidence
 from bergamotmount.thresholdview import ThresholdView
 
 #: Minimum time left until the deadline for an attempt, first try or retry.
@@ -68,6 +69,7 @@
     new_retry_budget: Callable[[], ServiceRetryBudget]
     poison_requests: PoisonRequests
     freshness: PolicyFreshness
+    learn_evidence: Callable[[PolicyEvidence | None, float], None]
 
 
 class Sender:
@@ -172,10 +174,13 @@
         call = self._build_call(pending)
         pending.tried_nodes.add(server.node)
         router.begin_call(server.node)
+        sent_ms = self._clock.now_ms()
         try:
             reply = await self._deps.call(server, call)
         finally:
             router.end_call(server.node)
+        if isinstance(reply, Answer):
+            self._deps.learn_evidence(reply.evidence, sent_ms)
         match reply:
             case Answer(outcome=Answered() as answered):
                 self._record_answer(pending, server, reply)
--- a/bergamotmount/messages.py
+++ b/bergamotmount/messages.py
@@ -14,6 +14,7 @@
     CrashReport,
     DemandReport,
     ObservedCall,
+    PolicyEvidence,
     ThresholdReport,
 )
 
@@ -61,7 +62,8 @@
     thousandths of the server's limit, ``service_ms`` the mean service time, 0
     if unknown, ``demand`` the capacity of the server and the demand for it.
     ``needs`` are the services that its nested calls for this request reach,
-    ``crashes`` the crashes under this request that the node knows of.
+    ``crashes`` the crashes under this request that the node knows of,
+    ``evidence`` is what it knows of the newest policy.
     """
 
     attempt: int
@@ -76,6 +78,7 @@
     demand: DemandReport = DemandReport()
     needs: list[str] = dataclasses.field(default_factory=list)
     crashes: list[CrashReport] = dataclasses.field(default_factory=list)
+    evidence: PolicyEvidence | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,8 +100,8 @@
     observed lately, ``crashes`` are crashes of servers under requests.
 
     ``sent_ms`` is the time on the sender's clock, which a reply repeats as
-    ``echoed_ms``. ``evidence_age_ms`` is the time since the sender's policy was
-    known to be the newest. Each is ``None`` if there is none.
+    ``echoed_ms``. ``evidence`` is what the sender knows of the newest policy.
+    Each is ``None`` if there is none.
     """
 
     sequence: int
@@ -117,7 +120,7 @@
     crashes: list[CrashReport] = dataclasses.field(default_factory=list)
     sent_ms: float | None = None
     echoed_ms: float | None = None
-    evidence_age_ms: float | None = None
+    evidence: PolicyEvidence | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/bergamotmount/organisations/freshness.py
+++ b/bergamotmount/organisations/freshness.py
@@ -33,13 +33,17 @@
 
 
 class PolicyFreshness:
-    """Evidence that the active policy is the newest, and its lease."""
+    """Evidence that the active policy is the newest, and its lease.
+
+    ``verified_ms`` is the latest time at which the policy is known to have
+    been the newest.
+    """
 
     def __init__(self, clock: Clock, lease_ms: float = math.inf) -> None:
         """Start without evidence; an infinite lease needs none."""
         self.lease_ms = lease_ms
         self._clock = clock
-        self._verified_ms = -math.inf
+        self.verified_ms = -math.inf
 
     @property
     def is_required(self) -> bool:
@@ -49,7 +53,7 @@
     @property
     def age_ms(self) -> float:
         """Time since the policy was known to be the newest."""
-        return self._clock.now_ms() - self._verified_ms
+        return self._clock.now_ms() - self.verified_ms
 
     @property
     def is_fresh(self) -> bool:
@@ -58,4 +62,4 @@
 
     def record(self, verified_ms: float) -> None:
         """Record that the active policy was the newest at this time."""
-        self._verified_ms = max(self._verified_ms, verified_ms)
+        self.verified_ms = max(self.verified_ms, verified_ms)
--- a/bergamotmount/reports.py
+++ b/bergamotmount/reports.py
@@ -65,6 +65,17 @@
     demand: tuple[float, ...] = _NO_DEMAND
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicyEvidence:
+    """A version of the policy, and how long ago it was known to be the newest.
+
+    The age counts from the moment at which the report is written.
+    """
+
+    version: int
+    age_ms: int
+
+
 def threshold_for(demand: Sequence[float], allowed: float) -> float:
     """Return the highest rank up to which demand fits the allowed rate.
 
--- a/bergamotmount/tests/fakestore.py
+++ b/bergamotmount/tests/fakestore.py
@@ -131,6 +131,7 @@
         self.is_partitioned = False
         self.loses_answers = False
         self.late_s = 0
+        self.reads = 0
 
     async def newest_policy(self) -> StorePage:
         await self._access()
@@ -190,6 +191,7 @@
         raise LogError('answer was lost')
 
     async def _access(self) -> None:
+        self.reads += 1
         await asyncio.sleep(LATENCY_S)
         if self.is_partitioned or not self.store.is_up:
             raise LogError('store is unreachable')
--- a/bergamotmount/tests/test_codec.py
+++ b/bergamotmount/tests/test_codec.py
@@ -14,6 +14,7 @@
     CrashReport,
     DemandReport,
     ObservedCall,
+    PolicyEvidence,
     ThresholdReport,
 )
 from bergamotmount.tests.fakes import RecordingCounters
@@ -71,10 +72,13 @@
         DemandReport(12.5, (1, 0, 2, 0)),
         ['b', 'c'],
         [CrashReport(7, 'i-1@5', 30)],
+        PolicyEvidence(12, 340),
     ),
     messages.Answer(3, NotRun(RefusalReason.QUEUE_FULL, 120, 't', 'why')),
     messages.Answer(4, Unknown(UnknownReason.ANSWER_LOST)),
     messages.Cancel(5),
+    messages.QuotaRequest(9, 'acme', 'a-1', 2, 3, 1),
+    messages.QuotaGrant(9, 'acme', 4, 250, False),
     messages.Heartbeat(
         6,
         False,
--- a/bergamotmount/tests/test_organisations.py
+++ b/bergamotmount/tests/test_organisations.py
@@ -6,9 +6,11 @@
 
 import logbook
 
+from bergamotmount.clock import MS_PER_SECOND
 from bergamotmount.forwarding.http import header_of
 from bergamotmount.organisations.organisation import Organisation
 from bergamotmount.reasons import DenialReason
+from bergamotmount.reports import PolicyEvidence
 from bergamotmount.tests.forwardingfixture import (
     HEADER_NAMES,
     ForwardingFixture,
@@ -197,3 +199,45 @@
         """It accepts no key any more, and denies none; the rest goes on."""
         statuses = await self.withdraw_behind_cut(True, True)
         self.assertEqual(statuses, (200, 503, 503, 200))
+
+
+class EvidenceTest(VirtualTestCase):
+    """Evidence travels with answers, dated from when we asked."""
+
+    async def test_age_counts_from_the_question(self):
+        """An answer that waits in a socket made old evidence look new."""
+        fixture = await make_keyed_fixture()
+        host = fixture.host_by_name['a1']
+        source = host.node.policy_source
+        host.store.is_partitioned = True
+        for other in fixture.host_by_name:
+            fixture.network.partitions |= {
+                (host.name, other),
+                (other, host.name),
+            }
+        await asyncio.sleep(LEASE_MS / MS_PER_SECOND)
+        self.assertEqual((await send_with_key(host, 'k1')).status, 503)
+        asked_ms = host.clock.now_ms()
+        await asyncio.sleep(1)
+        source.learn_evidence(PolicyEvidence(2, LEASE_MS - 900), asked_ms)
+        self.assertEqual((await send_with_key(host, 'k1')).status, 503)
+        source.learn_evidence(PolicyEvidence(3, 0), host.clock.now_ms())
+        self.assertEqual((await send_with_key(host, 'k1')).status, 503)
+        source.learn_evidence(PolicyEvidence(2, 100), asked_ms)
+        self.assertEqual((await send_with_key(host, 'k1')).status, 200)
+        fixture.close()
+
+    async def test_few_nodes_read(self):
+        """Each node read the store for itself, which is priced."""
+        fixture = await make_keyed_fixture()
+        host = fixture.host_by_name['b1']
+        before = sum(each.store.reads for each in fixture.host_by_name.values())
+        for _ in range(200):
+            await send_with_key(host, 'k1')
+            await send_with_key(fixture.host_by_name['a1'], 'k1')
+            await asyncio.sleep(0.05)
+        reads = sum(each.store.reads for each in fixture.host_by_name.values())
+        # Four nodes that read whenever their own evidence is a second old
+        # make forty reads in these ten seconds.
+        self.assertLess(reads - before, 26)
+        fixture.close()
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -11,18 +11,11 @@
 from bergamotmount import messages
 from bergamotmount.member import Member, MemberState
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
-from bergamotmount.rank import ADMIT_ALL_RANK, LEVELS
 from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
-from bergamotmount.reports import (
-    CrashReport,
-    DemandReport,
-    ObservedCall,
-    ThresholdReport,
-)
+from bergamotmount.wire import reportcodec
 from bergamotmount.wire.frames import FrameError
 from bergamotmount.wire.gen import ttypes
 
-_FieldType = TypeVar('_FieldType')
 _ReasonType = TypeVar('_ReasonType', RefusalReason, UnknownReason)
 
 #: Maximum number of elements in a list that is decoded.
@@ -109,22 +102,22 @@
 
 def _call_from_wire(wire: ttypes.Call) -> messages.Call:
     return messages.Call(
-        _require(wire.attempt),
-        _require(wire.root),
-        _require(wire.rank),
-        _require(wire.remaining_ms),
-        _require(wire.tokens),
-        _require(wire.service_name),
-        _require(wire.operation),
-        _require(wire.method),
-        _require(wire.headers),
-        _require(wire.body),
+        reportcodec.require_field(wire.attempt),
+        reportcodec.require_field(wire.root),
+        reportcodec.require_field(wire.rank),
+        reportcodec.require_field(wire.remaining_ms),
+        reportcodec.require_field(wire.tokens),
+        reportcodec.require_field(wire.service_name),
+        reportcodec.require_field(wire.operation),
+        reportcodec.require_field(wire.method),
+        reportcodec.require_field(wire.headers),
+        reportcodec.require_field(wire.body),
         wire.ticket or '',
-        _require(wire.idempotent),
+        reportcodec.require_field(wire.idempotent),
         wire.depth or 0,
         wire.target or '',
         wire.tries or 0,
-        _threshold_or_admit_all(wire.entry_threshold),
+        reportcodec.threshold_or_admit_all(wire.entry_threshold),
         bool(wire.is_repeat),
     )
 
@@ -136,12 +129,13 @@
         load_permille=answer.load_permille,
         service_ms=answer.service_ms,
         threshold=answer.threshold,
-        thresholds=_thresholds_to_wire(answer.thresholds),
+        thresholds=reportcodec.thresholds_to_wire(answer.thresholds),
         allowed=answer.demand.allowed,
         demand=answer.demand.demand,
         needs=answer.needs,
-        crashes=_crashes_to_wire(answer.crashes),
+        crashes=reportcodec.crashes_to_wire(answer.crashes),
     )
+    reportcodec.add_evidence(wire, answer.evidence)
     match answer.outcome:
         case Answered(status, headers, body):
             wire.outcome = _WireOutcome.ANSWERED
@@ -162,16 +156,17 @@
 
 def _answer_from_wire(wire: ttypes.Answer) -> messages.Answer:
     return messages.Answer(
-        attempt=_require(wire.attempt),
+        attempt=reportcodec.require_field(wire.attempt),
         outcome=_outcome_from_wire(wire),
         tokens=wire.tokens or 0,
-        threshold=_require(wire.threshold),
-        thresholds=_thresholds_from_wire(wire.thresholds),
+        threshold=reportcodec.require_field(wire.threshold),
+        thresholds=reportcodec.thresholds_from_wire(wire.thresholds),
         load_permille=wire.load_permille or 0,
         service_ms=wire.service_ms or 0,
-        demand=_demand_from_wire(wire),
+        demand=reportcodec.demand_from_wire(wire),
         needs=wire.needs or [],
-        crashes=_crashes_from_wire(wire.crashes),
+        crashes=reportcodec.crashes_from_wire(wire.crashes),
+        evidence=reportcodec.evidence_from_wire(wire),
     )
 
 
@@ -179,9 +174,9 @@
     match wire.outcome:
         case _WireOutcome.ANSWERED:
             return Answered(
-                _require(wire.status),
-                _require(wire.headers),
-                _require(wire.body),
+                reportcodec.require_field(wire.status),
+                reportcodec.require_field(wire.headers),
+                reportcodec.require_field(wire.body),
             )
         case _WireOutcome.NOT_RUN:
             return NotRun(
@@ -201,39 +196,11 @@
 ) -> _ReasonType:
     """Return a reason; nodes of a later release may send an unknown one."""
     try:
-        return reason_type(_require(name))
+        return reason_type(reportcodec.require_field(name))
     except ValueError:
         return reason_type.UNRECOGNIZED
 
 
-def _demand_from_wire(wire: ttypes.Answer) -> DemandReport:
-    if wire.allowed is None:
-        # Nodes of an older release don't send this field.
-        return DemandReport()
-    demand = tuple(wire.demand or ())
-    if len(demand) != LEVELS:
-        raise FrameError(DropReason.FRAME_MALFORMED)
-    return DemandReport(wire.allowed, demand)
-
-
-def _thresholds_to_wire(
-    reports: dict[str, ThresholdReport],
-) -> list[ttypes.Threshold]:
-    return [
-        ttypes.Threshold(service, report.rank, report.age_ms)
-        for service, report in reports.items()
-    ]
-
-
-def _thresholds_from_wire(
-    thresholds: list[ttypes.Threshold] | None,
-) -> dict[str, ThresholdReport]:
-    return {
-        wire.service_name: ThresholdReport(wire.rank, wire.age_ms or 0)
-        for wire in thresholds or ()
-    }
-
-
 def _member_to_wire(member: Member) -> ttypes.Member:
     return ttypes.Member(
         member.node,
@@ -251,12 +218,12 @@
 
 def _member_from_wire(wire: ttypes.Member) -> Member:
     return Member(
-        _require(wire.node),
-        _require(wire.address),
-        _require(wire.region),
-        _require(wire.failure_domain),
-        _require(wire.incarnation),
-        _require(wire.version),
+        reportcodec.require_field(wire.node),
+        reportcodec.require_field(wire.address),
+        reportcodec.require_field(wire.region),
+        reportcodec.require_field(wire.failure_domain),
+        reportcodec.require_field(wire.incarnation),
+        reportcodec.require_field(wire.version),
         MemberState(wire.state),
         wire.service_name or '',
         wire.slots or 0,
@@ -265,51 +232,52 @@
 
 
 def _heartbeat_to_wire(heartbeat: messages.Heartbeat) -> ttypes.Heartbeat:
-    return ttypes.Heartbeat(
+    wire = ttypes.Heartbeat(
         heartbeat.sequence,
         heartbeat.reply,
         [_member_to_wire(member) for member in heartbeat.members],
         heartbeat.digest,
         heartbeat.policy_offset,
-        _thresholds_to_wire(heartbeat.thresholds),
+        reportcodec.thresholds_to_wire(heartbeat.thresholds),
         False,
         heartbeat.release,
         heartbeat.threshold,
         heartbeat.load_permille,
         heartbeat.buckets,
-        _calls_to_wire(heartbeat.calls),
-        _crashes_to_wire(heartbeat.crashes),
+        reportcodec.calls_to_wire(heartbeat.calls),
+        reportcodec.crashes_to_wire(heartbeat.crashes),
         heartbeat.sent_ms,
         heartbeat.echoed_ms,
-        heartbeat.evidence_age_ms,
     )
+    reportcodec.add_evidence(wire, heartbeat.evidence)
+    return wire
 
 
 def _heartbeat_from_wire(wire: ttypes.Heartbeat) -> messages.Heartbeat:
     return messages.Heartbeat(
-        sequence=_require(wire.sequence),
-        reply=_require(wire.reply),
+        sequence=reportcodec.require_field(wire.sequence),
+        reply=reportcodec.require_field(wire.reply),
         members=[_member_from_wire(member) for member in wire.members or ()],
-        digest=_require(wire.digest),
-        policy_offset=_require(wire.policy_offset),
-        threshold=_require(wire.threshold),
-        thresholds=_thresholds_from_wire(wire.thresholds),
+        digest=reportcodec.require_field(wire.digest),
+        policy_offset=reportcodec.require_field(wire.policy_offset),
+        threshold=reportcodec.require_field(wire.threshold),
+        thresholds=reportcodec.thresholds_from_wire(wire.thresholds),
         load_permille=wire.load_permille or 0,
         buckets=wire.buckets or [],
         release=wire.release or '',
-        calls=_calls_from_wire(wire.calls),
-        crashes=_crashes_from_wire(wire.crashes),
+        calls=reportcodec.calls_from_wire(wire.calls),
+        crashes=reportcodec.crashes_from_wire(wire.crashes),
         sent_ms=wire.sent_ms,
         echoed_ms=wire.echoed_ms,
-        evidence_age_ms=wire.evidence_age_ms,
+        evidence=reportcodec.evidence_from_wire(wire),
     )
 
 
 def _quota_request_from_wire(wire: ttypes.QuotaRequest) -> messages.Message:
     return messages.QuotaRequest(
-        _require(wire.sequence),
-        _require(wire.organisation),
-        _require(wire.node),
+        reportcodec.require_field(wire.sequence),
+        reportcodec.require_field(wire.organisation),
+        reportcodec.require_field(wire.node),
         wire.waiting or 0,
         wire.wanted or 0,
         wire.held or 0,
@@ -318,61 +286,14 @@
 
 def _quota_grant_from_wire(wire: ttypes.QuotaGrant) -> messages.Message:
     return messages.QuotaGrant(
-        _require(wire.sequence),
-        _require(wire.organisation),
-        _require(wire.tokens),
+        reportcodec.require_field(wire.sequence),
+        reportcodec.require_field(wire.organisation),
+        reportcodec.require_field(wire.tokens),
         wire.retry_after_ms or 0,
         bool(wire.is_owner),
     )
 
 
-def _calls_to_wire(calls: list[ObservedCall]) -> list[ttypes.ObservedCall]:
-    return [
-        ttypes.ObservedCall(call.caller, call.route, call.age_ms)
-        for call in calls
-    ]
-
-
-def _calls_from_wire(
-    calls: list[ttypes.ObservedCall] | None,
-) -> list[ObservedCall]:
-    return [
-        ObservedCall(
-            _require(wire.caller), _require(wire.route), wire.age_ms or 0
-        )
-        for wire in calls or ()
-    ]
-
-
-def _crashes_to_wire(crashes: list[CrashReport]) -> list[ttypes.CrashReport]:
-    return [
-        ttypes.CrashReport(crash.fingerprint, crash.server, crash.age_ms)
-        for crash in crashes
-    ]
-
-
-def _crashes_from_wire(
-    crashes: list[ttypes.CrashReport] | None,
-) -> list[CrashReport]:
-    return [
-        CrashReport(
-            _require(wire.fingerprint), wire.server or '', wire.age_ms or 0
-        )
-        for wire in crashes or ()
-    ]
-
-
-def _threshold_or_admit_all(rank: float | None) -> float:
-    # Nodes of an older release don't send this field.
-    return ADMIT_ALL_RANK if rank is None else rank
-
-
-def _require(field: _FieldType | None) -> _FieldType:
-    if field is None:
-        raise FrameError(DropReason.FRAME_MALFORMED)
-    return field
-
-
 _Encoder = tuple[FrameKind, type, Callable]
 _Decoder = tuple[type, Callable]
 
@@ -439,26 +360,28 @@
     FrameKind.ANSWER: (ttypes.Answer, _answer_from_wire),
     FrameKind.CANCEL: (
         ttypes.Cancel,
-        lambda wire: messages.Cancel(_require(wire.attempt)),
+        lambda wire: messages.Cancel(reportcodec.require_field(wire.attempt)),
     ),
     FrameKind.HEARTBEAT: (ttypes.Heartbeat, _heartbeat_from_wire),
     FrameKind.PING: (ttypes.Ping, lambda wire: messages.Ping(bool(wire.reply))),
     FrameKind.POLICY_FETCH: (
         ttypes.PolicyFetch,
-        lambda wire: messages.PolicyFetch(_require(wire.known_offset)),
+        lambda wire: messages.PolicyFetch(
+            reportcodec.require_field(wire.known_offset)
+        ),
     ),
     FrameKind.POLICY_RECORDS: (
         ttypes.PolicyRecords,
         lambda wire: messages.PolicyRecords(
-            _require(wire.first_offset),
-            _require(wire.records),
+            reportcodec.require_field(wire.first_offset),
+            reportcodec.require_field(wire.records),
         ),
     ),
     FrameKind.POLICY_STATE: (
         ttypes.PolicyState,
         lambda wire: messages.PolicyState(
-            _require(wire.offset),
-            _require(wire.state),
+            reportcodec.require_field(wire.offset),
+            reportcodec.require_field(wire.state),
         ),
     ),
     FrameKind.QUOTA_REQUEST: (ttypes.QuotaRequest, _quota_request_from_wire),
--- a/bergamotmount/wire/gen/ttypes.py
+++ b/bergamotmount/wire/gen/ttypes.py
@@ -489,6 +489,8 @@
      - demand
      - needs
      - crashes
+     - evidence_version
+     - evidence_age_ms
 
     """
 
@@ -511,10 +513,12 @@
         'demand',
         'needs',
         'crashes',
+        'evidence_version',
+        'evidence_age_ms',
     )
 
 
-    def __init__(self, attempt=None, outcome=None, status=None, reason=None, headers=None, body=None, tokens=None, retry_after_ms=None, thresholds=None, load_permille=None, ticket=None, detail=None, threshold=None, service_ms=None, allowed=None, demand=None, needs=None, crashes=None,):
+    def __init__(self, attempt=None, outcome=None, status=None, reason=None, headers=None, body=None, tokens=None, retry_after_ms=None, thresholds=None, load_permille=None, ticket=None, detail=None, threshold=None, service_ms=None, allowed=None, demand=None, needs=None, crashes=None, evidence_version=None, evidence_age_ms=None,):
         self.attempt = attempt
         self.outcome = outcome
         self.status = status
@@ -533,6 +537,8 @@
         self.demand = demand
         self.needs = needs
         self.crashes = crashes
+        self.evidence_version = evidence_version
+        self.evidence_age_ms = evidence_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -660,6 +666,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.evidence_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.evidence_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -757,6 +773,14 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.evidence_version is not None:
+            oprot.writeFieldBegin('evidence_version', TType.I64, 19)
+            oprot.writeI64(self.evidence_version)
+            oprot.writeFieldEnd()
+        if self.evidence_age_ms is not None:
+            oprot.writeFieldBegin('evidence_age_ms', TType.I32, 20)
+            oprot.writeI32(self.evidence_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1136,6 +1160,7 @@
      - crashes
      - sent_ms
      - echoed_ms
+     - evidence_version
      - evidence_age_ms
 
     """
@@ -1156,11 +1181,12 @@
         'crashes',
         'sent_ms',
         'echoed_ms',
+        'evidence_version',
         'evidence_age_ms',
     )
 
 
-    def __init__(self, sequence=None, reply=None, members=None, digest=None, policy_offset=None, thresholds=None, full=None, release=None, threshold=None, load_permille=None, buckets=None, calls=None, crashes=None, sent_ms=None, echoed_ms=None, evidence_age_ms=None,):
+    def __init__(self, sequence=None, reply=None, members=None, digest=None, policy_offset=None, thresholds=None, full=None, release=None, threshold=None, load_permille=None, buckets=None, calls=None, crashes=None, sent_ms=None, echoed_ms=None, evidence_version=None, evidence_age_ms=None,):
         self.sequence = sequence
         self.reply = reply
         self.members = members
@@ -1176,6 +1202,7 @@
         self.crashes = crashes
         self.sent_ms = sent_ms
         self.echoed_ms = echoed_ms
+        self.evidence_version = evidence_version
         self.evidence_age_ms = evidence_age_ms
 
     def read(self, iprot):
@@ -1292,8 +1319,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
-                if ftype == TType.DOUBLE:
-                    self.evidence_age_ms = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.evidence_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I32:
+                    self.evidence_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1381,9 +1413,13 @@
             oprot.writeFieldBegin('echoed_ms', TType.DOUBLE, 15)
             oprot.writeDouble(self.echoed_ms)
             oprot.writeFieldEnd()
+        if self.evidence_version is not None:
+            oprot.writeFieldBegin('evidence_version', TType.I64, 16)
+            oprot.writeI64(self.evidence_version)
+            oprot.writeFieldEnd()
         if self.evidence_age_ms is not None:
-            oprot.writeFieldBegin('evidence_age_ms', TType.DOUBLE, 16)
-            oprot.writeDouble(self.evidence_age_ms)
+            oprot.writeFieldBegin('evidence_age_ms', TType.I32, 17)
+            oprot.writeI32(self.evidence_age_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2012,6 +2048,8 @@
     (16, TType.LIST, 'demand', (TType.DOUBLE, None, False), None, ),  # 16
     (17, TType.LIST, 'needs', (TType.STRING, 'UTF8', False), None, ),  # 17
     (18, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 18
+    (19, TType.I64, 'evidence_version', None, None, ),  # 19
+    (20, TType.I32, 'evidence_age_ms', None, None, ),  # 20
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
@@ -2057,7 +2095,8 @@
     (13, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 13
     (14, TType.DOUBLE, 'sent_ms', None, None, ),  # 14
     (15, TType.DOUBLE, 'echoed_ms', None, None, ),  # 15
-    (16, TType.DOUBLE, 'evidence_age_ms', None, None, ),  # 16
+    (16, TType.I64, 'evidence_version', None, None, ),  # 16
+    (17, TType.I32, 'evidence_age_ms', None, None, ),  # 17
 )
 all_structs.append(QuotaRequest)
 QuotaRequest.thrift_spec = (
--- a/bergamotmount/wire/messages.thrift
+++ b/bergamotmount/wire/messages.thrift
@@ -57,6 +57,8 @@
   16: list<double> demand
   17: list<string> needs
   18: list<CrashReport> crashes
+  19: i64 evidence_version
+  20: i32 evidence_age_ms
 }
 
 struct Cancel {
@@ -98,7 +100,8 @@
   13: list<CrashReport> crashes
   14: double sent_ms
   15: double echoed_ms
-  16: double evidence_age_ms
+  16: i64 evidence_version
+  17: i32 evidence_age_ms
 }
 
 struct QuotaRequest {
