Order requests by their organisation's level, then by their route's

Nested calls have the rank of their root.

Change: the combinations of both levels are ordered. Nodes tell four levels apart; where there are more combinations the most important share one, so the messages and the thresholds stay as they are.

Ruled out: more levels. The organisation's level in place of the route's: within an organisation orders and readings would be refused alike.

--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -124,7 +124,7 @@
             case NotRun() as refusal:
                 return self._refusal_reply(refusal)
             case Identified(organisation):
-                pending = self._new_pending(request, route, organisation)
+                pending = self._new_pending(request, route, table, organisation)
         if pending is None:
             return HttpReply(_BAD_REQUEST)
         pending.removes_key = table.key_ring is not None
@@ -142,6 +142,7 @@
         self,
         request: HttpRequest,
         route: Route,
+        table: RouteTable,
         organisation: Organisation | None,
     ) -> PendingRequest | None:
         """Return the request's state, ``None`` if its headers are invalid."""
@@ -156,7 +157,8 @@
                 route.name, now_ms + timeout_ms
             )
         if parent is None:
-            rank = rank_of(route.level, caller.request_id)
+            level = table.level_of(organisation, route)
+            rank = rank_of(level, caller.request_id)
         else:
             rank = parent.rank
         return PendingRequest(
--- a/bergamotmount/forwarding/routetable.py
+++ b/bergamotmount/forwarding/routetable.py
@@ -15,6 +15,7 @@
 
 from bergamotmount.organisations.keyring import KeyRing
 from bergamotmount.organisations.organisation import Organisation
+from bergamotmount.organisations.urgency import Urgency
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,6 +101,14 @@
             organisation.name: organisation
             for organisation in policy.organisations or ()
         }
+        self._urgency = (
+            None
+            if policy.organisations is None
+            else Urgency(
+                (each.level for each in policy.organisations),
+                (route.level for route in policy.routes),
+            )
+        )
         self._route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
         self._services_by_route_name: dict[str, tuple[str, ...]] = {}
         for route in policy.routes:
@@ -127,6 +136,15 @@
             end = path.rfind('/', 0, end)
         return None
 
+    def level_of(self, organisation: Organisation | None, route: Route) -> int:
+        """Return the level of a request, 0 for the most important."""
+        if self._urgency is None:
+            return route.level
+        organisation_level = (
+            None if organisation is None else organisation.level
+        )
+        return self._urgency.level_of(organisation_level, route.level)
+
     def services_of(self, name: str) -> tuple[str, ...]:
         """Return the services of a route, empty for an unknown route."""
         return self._services_by_route_name.get(name, ())
