--- a/bergamotmount/organisations/quotaowner.py
+++ b/bergamotmount/organisations/quotaowner.py
@@ -3,8 +3,10 @@
 The bound on the requests of an organisation in a window has two parts. The
 tokens that are minted within the window are the quota itself. Tokens that
 nodes hold for requests to come may have been minted before; their number is
-bounded by what the operators tolerate beyond the quota. Half of that is left
-for the moment in which nodes disagree on the owner.
+bounded by what the operators tolerate beyond the quota. Some of that is added
+to the burst, because an organisation of a few requests a second sends more
+than its quota by chance. The rest is left for the moment in which nodes
+disagree on the owner.
 
 Load pattern: the owner ends and another node takes over, or the owner was
 paused and another one has granted in the meantime. The new one starts without
@@ -17,7 +19,7 @@
 
 from bergamotmount.clock import Clock
 from bergamotmount.messages import QuotaGrant, QuotaRequest
-from bergamotmount.organisations.organisation import Organisation
+from bergamotmount.organisations.organisation import Organisation, Quota
 from bergamotmount.organisations.quotaring import QuotaRing
 from bergamotmount.organisations.tokenbucket import TokenBucket
 
@@ -29,8 +31,10 @@
 #: different speeds.
 LIFETIME_MARGIN_MS = 500
 
-#: Part of the tolerated excess that nodes may hold.
-HELD_SHARE = 0.5
+#: Part of the tolerated excess that nodes may hold, and part of the tolerated
+#: number of requests that is added to the burst.
+HELD_SHARE = 0.4
+BURST_SHARE = 0.4
 
 #: Share of the burst that is kept for requests that need a token at once.
 RESERVED_SHARE = 0.25
@@ -51,6 +55,10 @@
     overage: float = 0
     slack: float = 0
 
+    def tolerated(self, quota: Quota) -> float:
+        """Return the number of requests beyond a quota in a window."""
+        return self.overage * quota.allowed_in(self.window_ms) + self.slack
+
 
 @dataclasses.dataclass(slots=True)
 class _Holding:
@@ -135,7 +143,7 @@
                 request.waiting - granted
             )
         else:
-            ahead = self._grant_ahead(account, request)
+            ahead = self._grant_ahead(account, organisation, request)
         account.holding_by_node[request.node] = _Holding(
             request.held + ahead, self._clock.now_ms()
         )
@@ -151,21 +159,26 @@
         if account is None:
             account = _Account(self._clock, organisation)
             self._account_by_name[organisation.name] = account
-        account.bucket.quota = organisation.quota
+        quota = organisation.quota
+        extra = self._options.slack * BURST_SHARE
+        account.bucket.quota = dataclasses.replace(
+            quota, burst=quota.burst + extra
+        )
         return account
 
-    def _grant_ahead(self, account: _Account, request: QuotaRequest) -> int:
+    def _grant_ahead(
+        self,
+        account: _Account,
+        organisation: Organisation,
+        request: QuotaRequest,
+    ) -> int:
         """Return the number of tokens granted for requests to come."""
         now_ms = self._clock.now_ms()
         if now_ms - account.opened_ms < TOKEN_LIFETIME_MS + LIFETIME_MARGIN_MS:
             return 0
-        quota = account.bucket.quota
-        tolerated = (
-            self._options.overage * quota.allowed_in(self._options.window_ms)
-            + self._options.slack
-        )
+        quota = organisation.quota
         held = account.held_by_others(request.node, now_ms) + request.held
-        room = int(tolerated * HELD_SHARE) - held
+        room = int(self._options.tolerated(quota) * HELD_SHARE) - held
         return account.bucket.take(
             min(request.wanted - request.held, room),
             reserve=quota.burst * RESERVED_SHARE,
--- a/bergamotmount/tests/test_quotas.py
+++ b/bergamotmount/tests/test_quotas.py
@@ -8,7 +8,7 @@
 from bergamotmount.organisations.organisation import Organisation, Quota
 from bergamotmount.organisations.tokenbucket import TokenBucket
 from bergamotmount.reasons import RefusalReason
-from bergamotmount.tests.quotacluster import QuotaCluster
+from bergamotmount.tools.emulation.quotacluster import QuotaCluster
 from bergamotmount.tests.virtualtime import VirtualTestCase
 
 SETTLE_S = 8
--- a/bergamotmount/tests/quotacluster.py
+++ b/bergamotmount/tools/emulation/quotacluster.py
@@ -4,7 +4,10 @@
 import bisect
 import dataclasses
 import random
+from collections.abc import Callable
+from typing import Protocol
 
+from bergamotmount.clock import LoopClock
 from bergamotmount.member import Member, MemberState
 from bergamotmount.membership import Members
 from bergamotmount.messages import QuotaGrant, QuotaRequest
@@ -12,8 +15,8 @@
 from bergamotmount.organisations.quotaowner import QuotaOptions, QuotaOwner
 from bergamotmount.organisations.quotaring import QuotaRing
 from bergamotmount.organisations.quotatokens import QuotaTokens
+from bergamotmount.outcomes import NotRun
 from bergamotmount.reasons import RefusalReason
-from bergamotmount.tests.fakes import FakeClock
 
 LATENCY_S = 0.001
 CHECK_S = 0.2
@@ -25,10 +28,18 @@
 WINDOW_S = 5
 
 
+class Spender(Protocol):
+    """What the requests of organisations at a node need."""
+
+    async def spend(self, organisation: Organisation) -> NotRun | None:
+        """Return why a request is refused, ``None`` if it isn't."""
+
+
 class QuotaNode:
     """One node: its view of the members, as a spender and as an owner."""
 
     def __init__(self, cluster: 'QuotaCluster', name: str) -> None:
+        """Start as a member of ``cluster``."""
         self.cluster = cluster
         self.name = name
         self.incarnation = 0
@@ -36,10 +47,15 @@
         self.side = ''
         self.start()
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the process is stopped."""
+        return asyncio.get_running_loop().time() < self.paused_until_s
+
     def start(self) -> None:
         """Start anew, knowing all members but none of the quotas."""
         self.incarnation += 1
-        self.clock = FakeClock()
+        self.clock = LoopClock()
         local = self.cluster.member(self.name, self.incarnation)
         self.members = Members(self.clock, local)
         self.members.learn(self.cluster.member(each) for each in self.names())
@@ -48,21 +64,21 @@
             self.clock, self.ring, OPTIONS, self.cluster.organisations.get
         )
         self.tokens = QuotaTokens(self.clock, self.name, self.ring, self.ask)
+        self.spender: Spender = self.cluster.make_spender(self)
 
     def names(self) -> list[str]:
+        """Return the names of the other nodes."""
         return [name for name in self.cluster.names if name != self.name]
 
     def ask(self, owner: Member, request: QuotaRequest) -> None:
+        """Send a request to an owner."""
         self.cluster.deliver(self, owner.node, request)
 
     def check(self) -> None:
+        """Follow changes of the members."""
         if not self.is_paused:
             self.owner.check(self.cluster.organisations.values())
 
-    @property
-    def is_paused(self) -> bool:
-        return asyncio.get_running_loop().time() < self.paused_until_s
-
 
 @dataclasses.dataclass(slots=True)
 class Outcomes:
@@ -83,12 +99,22 @@
         )
 
 
+def _spend_tokens(node: QuotaNode) -> Spender:
+    return node.tokens
+
+
 class QuotaCluster:
     """Nodes with the same policy."""
 
     def __init__(
-        self, size: int, organisations: list[Organisation], seed: int
+        self,
+        size: int,
+        organisations: list[Organisation],
+        seed: int,
+        make_spender: Callable[[QuotaNode], Spender] = _spend_tokens,
     ) -> None:
+        """Start ``size`` nodes, each with a spender of its own."""
+        self.make_spender = make_spender
         self.rng = random.Random(seed)
         self.names = [f'n-{number}' for number in range(size)]
         self.organisations = {each.name: each for each in organisations}
@@ -101,18 +127,22 @@
         self._tasks: set[asyncio.Task] = set()
 
     def member(self, name: str, incarnation: int = 1) -> Member:
+        """Return a node as a member."""
         incarnation = max(incarnation, self.incarnation_by_name[name])
         return Member(name, name, 'r', 'fd', incarnation)
 
     def start(self) -> None:
+        """Start the regular checks."""
         self.run(self._check_regularly())
 
     def run(self, coroutine) -> None:
+        """Run a coroutine in the background."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     def close(self) -> None:
+        """Stop all tasks."""
         for task in self._tasks:
             task.cancel()
 
@@ -123,6 +153,7 @@
         return allowed * (1 + OPTIONS.overage) + OPTIONS.slack
 
     def deliver(self, sender: QuotaNode, target: str, message) -> None:
+        """Deliver a message after the latency of the network."""
         self.messages += 1
         loop = asyncio.get_running_loop()
         loop.call_later(LATENCY_S, self._arrive, sender, target, message)
@@ -131,7 +162,7 @@
         """Send a request of an organisation to a node."""
         if node.is_paused:
             return
-        refusal = await node.tokens.spend(self.organisations[name])
+        refusal = await node.spender.spend(self.organisations[name])
         outcomes = self.outcomes[name]
         match refusal and refusal.reason:
             case None:
@@ -164,6 +195,19 @@
             await asyncio.sleep(self.rng.uniform(0, 0.5) / len(self.names))
             self._see_all_alive(node)
 
+    async def restart(self, name: str, duration_s: float) -> None:
+        """End a node and start it again after a time."""
+        node = self.node_by_name[name]
+        node.paused_until_s = asyncio.get_running_loop().time() + duration_s
+        await asyncio.sleep(duration_s)
+        node.start()
+        self.incarnation_by_name[name] = node.incarnation
+
+    def pause(self, name: str, duration_s: float) -> None:
+        """Stop a node's execution for a time."""
+        node = self.node_by_name[name]
+        node.paused_until_s = asyncio.get_running_loop().time() + duration_s
+
     async def _detect(self, node: QuotaNode) -> None:
         await asyncio.sleep(self.rng.uniform(*DETECTION_S))
         for other in self.node_by_name.values():
@@ -186,19 +230,6 @@
                     )
                 )
 
-    async def restart(self, name: str, duration_s: float) -> None:
-        """End a node and start it again after a time."""
-        node = self.node_by_name[name]
-        node.paused_until_s = asyncio.get_running_loop().time() + duration_s
-        await asyncio.sleep(duration_s)
-        node.start()
-        self.incarnation_by_name[name] = node.incarnation
-
-    def pause(self, name: str, duration_s: float) -> None:
-        """Stop a node's execution for a time."""
-        node = self.node_by_name[name]
-        node.paused_until_s = asyncio.get_running_loop().time() + duration_s
-
     def _arrive(self, sender: QuotaNode, target: str, message) -> None:
         node = self.node_by_name[target]
         if node.side != sender.side:
