Test the organisations of policy records, and name them in decisions

The parser of organisations had no test. A wrong type rejects the record; a bad name, a negative quota or a second organisation of one name leaves out that organisation only. Lines of refused and unknown requests name the organisation; explain finds denied ones. Any name fits one header of a request to a server (hypothesis).

--- a/bergamotmount/ctlexplain.py
+++ b/bergamotmount/ctlexplain.py
@@ -14,7 +14,7 @@
 from bergamotmount.ctlsources import InputError, Report, Sources
 
 #: Kinds of decisions that end a request.
-FINAL_KINDS = ('refused', 'unknown')
+FINAL_KINDS = ('denied', 'refused', 'unknown')
 
 #: Maximum length of a line that is parsed, in characters.
 MAX_LINE_LENGTH = 100_000
--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -295,6 +295,7 @@
             f'{kind}_call' if pending.is_nested else kind,
             request=pending.request_id,
             route=pending.route.name,
+            organisation=pending.organisation_name,
             reason=reason,
             rank=pending.rank,
             threshold=pending.threshold,
--- a/bergamotmount/forwarding/pendingrequest.py
+++ b/bergamotmount/forwarding/pendingrequest.py
@@ -51,6 +51,11 @@
     organisation: Organisation | None = None
     removes_key: bool = False
 
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation, empty without one."""
+        return '' if self.organisation is None else self.organisation.name
+
     @property
     def may_reach_another_server(self) -> bool:
         """Whether the route allows sending it to one more server."""
--- a/bergamotmount/tests/test_platform.py
+++ b/bergamotmount/tests/test_platform.py
@@ -4,11 +4,19 @@
 import base64
 import contextlib
 import json
+import math
 import random
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from bergamotmount.clock import Clock, LoopClock
-from bergamotmount.forwarding.http import HttpRequest
+from bergamotmount.forwarding.http import (
+    HttpRequest,
+    encode_header,
+    pack_request,
+)
 from bergamotmount.forwarding.httpconnection import (
     HttpLimits,
     HttpReply,
@@ -18,6 +26,9 @@
 from bergamotmount.forwarding.policysource import PolicyError
 from bergamotmount.forwarding.store import OffsetExpiredError
 from bergamotmount.member import Member
+from bergamotmount.organisations.freshness import lease_for
+from bergamotmount.organisations.organisation import Quota
+from bergamotmount.organisations.quotaowner import QuotaOptions
 from bergamotmount.platform import names
 from bergamotmount.platform.control import ControlServer
 from bergamotmount.platform.crashrecord import crashes_key, pack_servers
@@ -169,6 +180,93 @@
                 parse_record(bytes(changed))
 
 
+class OrganisationsRecordTest(unittest.TestCase):
+    """Each organisation of a record is taken, or left out with a warning."""
+
+    def parse(self, *organisations: dict):
+        record = {**RECORD, 'tenants': list(organisations)}
+        return parse_record(json.dumps(record).encode()).organisations
+
+    def test_record_without_organisations(self):
+        """Records of the older schema need no keys; an empty list does."""
+        plain = parse_record(json.dumps(RECORD).encode())
+        self.assertIsNone(plain.organisations)
+        self.assertFalse(plain.routes[0].is_public)
+        self.assertEqual(self.parse(), ())
+
+    def test_fields(self):
+        """No rate, or one of 0, means no limit."""
+        limited, free, zero = self.parse(
+            {
+                'name': 'acme',
+                'api_keys': ['k1', 'k2'],
+                'priority': 1,
+                'rate_per_s': 12.5,
+                'burst': 3,
+                'later': {'field': 1},
+            },
+            {'name': 'free', 'api_keys': ['k3']},
+            {'name': 'zero', 'rate_per_s': 0, 'burst': 9},
+        )
+        self.assertEqual(limited.keys, ('k1', 'k2'))
+        self.assertEqual((limited.level, limited.quota), (1, Quota(12.5, 3)))
+        self.assertIsNone(free.quota)
+        self.assertIsNone(zero.quota)
+
+    def test_invalid_organisation_is_left_out(self):
+        """One bad name must not stop the requests of all others."""
+        for bad in (
+            {'name': ''},
+            {'name': 'a\r\nX-Other: 1'},
+            {'name': ' a'},
+            {'name': 'a', 'rate_per_s': -1},
+            {'name': 'good', 'api_keys': ['k9']},
+        ):
+            with self.subTest(bad=bad):
+                good, *others = self.parse(
+                    {'name': 'good', 'api_keys': ['k1']}, bad
+                )
+                self.assertEqual((good.keys, others), (('k1',), []))
+
+    def test_wrong_type_rejects_the_record(self):
+        """A list that can't be read must not open all routes."""
+        for tenants in (None, 'x', [1], [{'name': 'a', 'api_keys': 'k1'}]):
+            record = {**RECORD, 'tenants': tenants}
+            with self.subTest(tenants), self.assertRaises(PolicyError):
+                parse_record(json.dumps(record).encode())
+
+    @given(st.text(max_size=12))
+    def test_any_name(self, name):
+        """A name could break the headers of a request to a server."""
+        for organisation in self.parse({'name': name, 'api_keys': ['k1']}):
+            packed = pack_request(
+                'GET', '/', ['X-Name', encode_header(organisation.name)], b''
+            )
+            self.assertEqual(packed.count(b'\r\n'), 3)
+
+
+class WithdrawalSettingsTest(unittest.TestCase):
+    """Withdrawal binds nodes that are cut off only if the operators say so."""
+
+    def test_lease_follows_from_the_bound(self):
+        bounds = 'terms.bounds.revoke_s=5\nterms.bounds.revoke_strict='
+        strict = parse_platform_settings(f'{SETTINGS}{bounds}true'.splitlines())
+        self.assertEqual(strict.key_withdrawal_ms, 5000)
+        self.assertEqual(lease_for(strict.key_withdrawal_ms), 4000)
+        for text in (SETTINGS, f'{SETTINGS}{bounds}false'):
+            settings = parse_platform_settings(text.splitlines())
+            self.assertEqual(lease_for(settings.key_withdrawal_ms), math.inf)
+
+    def test_tolerance_of_quotas(self):
+        tolerance = (
+            'terms.bounds.quota_overage=0.1\nterms.bounds.quota_slack=20'
+        )
+        settings = parse_platform_settings(
+            f'{SETTINGS}{tolerance}'.splitlines()
+        )
+        self.assertEqual(settings.quota, QuotaOptions(5000, 0.1, 20))
+
+
 class ControlTest(VirtualTestCase):
     """Invalid announcements are rejected without a change of server state."""
 
