--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -138,6 +138,21 @@
             self._deps.active_requests.record_answer(route.name, pending.parent)
         return reply
 
+    def check_head(self, request: HttpRequest) -> int | None:
+        """Return the status of a request that is denied whatever its body."""
+        table = self._deps.route_table()
+        if table is None:
+            return None
+        host = header_of(request.headers, 'Host') or ''
+        route = table.find(host, request.path)
+        if route is None:
+            return _NOT_FOUND
+        identity = self._deps.caller_check.check(request, route, table)
+        if isinstance(identity, Denied):
+            self._counters.denied(identity.reason)
+            return _UNAUTHORIZED
+        return None
+
     def _new_pending(
         self,
         request: HttpRequest,
--- a/bergamotmount/forwarding/httpserver.py
+++ b/bergamotmount/forwarding/httpserver.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from bergamotmount.clock import Clock
+from bergamotmount.forwarding.http import HttpRequest
 from bergamotmount.forwarding.httpconnection import (
     Connection,
     Handler,
@@ -14,6 +15,10 @@
 BACKLOG = 1024
 
 
+#: Returns the status to reject a request with, by its headers only.
+HeadCheck = Callable[[HttpRequest], int | None]
+
+
 class HttpServer:
     """Listens for callers and tracks their connections."""
 
@@ -23,16 +28,19 @@
         handler: Handler,
         limits: HttpLimits,
         on_malformed: Callable[[str], None],
+        check_head: HeadCheck | None = None,
     ) -> None:
         """Pass requests to ``handler`` once the server is started.
 
         ``limits`` may be replaced at any time. ``on_malformed`` is called
-        with the reason for which a request is rejected.
+        with the reason for which a request is rejected. ``check_head`` may
+        reject a request with a large body before that is received.
         """
         self.clock = clock
         self.handler = handler
         self.limits = limits
         self.on_malformed = on_malformed
+        self.check_head = check_head
         self.connections: set[Connection] = set()
         self.is_closing = False
         self._server: asyncio.Server | None = None
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -330,6 +330,7 @@
             self.entry.handle,
             HttpLimits(),
             self._on_malformed_request,
+            self.entry.check_head,
         )
         self.peer_server = PeerServer(
             self.gateway.handle,
--- a/bergamotmount/tests/test_httpserver.py
+++ b/bergamotmount/tests/test_httpserver.py
@@ -239,6 +239,16 @@
         written = await self.settle()
         self.assertTrue(written.startswith(b'HTTP/1.1 413 '))
 
+    async def test_request_is_rejected_before_a_large_body(self):
+        """A body was received in full for a caller that is denied."""
+        for body in ('Content-Length: 70000', 'Transfer-Encoding: chunked'):
+            connection = self.connect(HttpLimits(max_body_bytes=100_000))
+            self.server.check_head = lambda _: 401
+            connection.data_received(
+                f'POST /a HTTP/1.1\r\nHost: shop\r\n{body}\r\n\r\n'.encode()
+            )
+            self.assertIn(b'HTTP/1.1 401', await self.settle())
+
     async def test_large_chunked_body(self):
         """A body without an announced length is bounded too."""
         connection = self.connect(HttpLimits(max_body_bytes=3))
--- a/bergamotmount/tests/test_organisations.py
+++ b/bergamotmount/tests/test_organisations.py
@@ -7,7 +7,7 @@
 import logbook
 
 from bergamotmount.clock import MS_PER_SECOND
-from bergamotmount.forwarding.http import header_of
+from bergamotmount.forwarding.http import HttpRequest, header_of
 from bergamotmount.organisations.organisation import Organisation
 from bergamotmount.reasons import DenialReason
 from bergamotmount.reports import PolicyEvidence
@@ -129,6 +129,16 @@
         self.assertEqual(counts[DenialReason.KEY_UNKNOWN], 2)
         fixture.close()
 
+    async def test_large_body_of_a_denied_request(self):
+        """A body of many megabytes was held for a caller without a key."""
+        fixture = await make_keyed_fixture()
+        entry = fixture.host_by_name['b1'].node.entry
+        for key, status in (('k3', 401), ('k1', None)):
+            headers = [('Host', 'shop'), ('Authorization', f'Bearer {key}')]
+            request = HttpRequest('POST', '/buy/1', headers)
+            self.assertEqual(entry.check_head(request), status)
+        fixture.close()
+
     async def test_empty_list_of_organisations(self):
         """Removing the last organisation must not open all routes."""
         fixture = await make_keyed_fixture()
