Hold more tokens, in place of those in the bucket

Nodes could hold 0.4 of the tolerated excess only, a fraction of a second of demand. After the restart of everything a node that knew no owner yet didn't ask again.

Change: up to 0.7 of the burst may be held too; it reduces what the bucket may hold, so the bound stays.

Ruled out: holding more without reducing the bucket, which exceeds the bound when an organisation turns hot; stand-ins for owners that can't be reached, whose sum over many cuts has no bound.

--- a/bergamotmount/organisations/quotaowner.py
+++ b/bergamotmount/organisations/quotaowner.py
@@ -3,9 +3,10 @@
 The bound on the requests of an organisation in a window has two parts. The
 tokens that are minted within the window are the quota itself. Tokens that
 nodes hold for requests to come may have been minted before; their number is
-bounded by what the operators tolerate beyond the quota. Some of that is added
-to the burst, because an organisation of a few requests a second sends more
-than its quota by chance. The rest is left for the moment in which nodes
+bounded by what the operators tolerate beyond the quota. Tokens that are held
+beyond that take the place of tokens in the bucket. Some of what is tolerated is
+added to the burst, because an organisation of a few requests a second sends
+more than its quota by chance. The rest is left for the moment in which nodes
 disagree on the owner.
 
 Load pattern: the owner ends and another node takes over, or the owner was
@@ -37,8 +38,10 @@
 HELD_SHARE = 0.4
 BURST_SHARE = 0.4
 
-#: Share of the burst that is kept for requests that need a token at once.
+#: Share of the burst that is kept for requests that need a token at once, and
+#: share of it that may be held.
 RESERVED_SHARE = 0.25
+HELD_BURST_SHARE = 0.7
 
 #: Time between two checks after which this process was suspended.
 SUSPENDED_MS = 1000
@@ -175,8 +178,10 @@
             self._account_by_name[organisation.name] = account
         quota = organisation.quota
         extra = self._options.slack * BURST_SHARE
+        held = account.held_by_others('', self._clock.now_ms())
+        beyond = max(held - self._tolerated_held(quota), 0)
         account.bucket.quota = dataclasses.replace(
-            quota, burst=quota.burst + extra
+            quota, burst=max(quota.burst + extra - beyond, 0)
         )
         return account
 
@@ -192,8 +197,15 @@
             return 0
         quota = organisation.quota
         held = account.held_by_others(request.node, now_ms) + request.held
-        room = int(self._options.tolerated(quota) * HELD_SHARE) - held
+        may_be_held = (
+            self._tolerated_held(quota) + quota.burst * HELD_BURST_SHARE
+        )
+        room = int(may_be_held) - held
         return account.bucket.take(
             min(request.wanted - request.held, room),
             reserve=quota.burst * RESERVED_SHARE,
         )
+
+    def _tolerated_held(self, quota: Quota) -> float:
+        """Return how many tokens may be held in addition to the bucket."""
+        return self._options.tolerated(quota) * HELD_SHARE
--- a/bergamotmount/organisations/quotatokens.py
+++ b/bergamotmount/organisations/quotatokens.py
@@ -160,12 +160,7 @@
             return
         wallet.ask = None
         if not grant.is_owner:
-            self._clock.call_later(
-                OWNER_CHANGE_PAUSE_MS,
-                self._ask_if_awaited,
-                grant.organisation,
-                wallet,
-            )
+            self._ask_later(grant.organisation, wallet)
             return
         self._add_tokens(wallet, grant.tokens, ask.sent_ms)
         wallet.serve_waiters()
@@ -221,6 +216,12 @@
             if waiter in wallet.waiters:
                 wallet.waiters.remove(waiter)
 
+    def _ask_later(self, name: str, wallet: _Wallet) -> None:
+        """Ask again after a pause: the owner isn't known, or has changed."""
+        self._clock.call_later(
+            OWNER_CHANGE_PAUSE_MS, self._ask_if_awaited, name, wallet
+        )
+
     def _ask_if_awaited(self, name: str, wallet: _Wallet) -> None:
         if wallet.waiters:
             self._ask(name, wallet)
@@ -231,6 +232,8 @@
             return
         owner = self._ring.owner_of(name)
         if owner is None:
+            if wallet.waiters:
+                self._ask_later(name, wallet)
             return
         request = QuotaRequest(
             next(self._sequence),
