--- a/bergamotmount/tests/test_experiment.py
+++ b/bergamotmount/tests/test_experiment.py
@@ -1,9 +1,12 @@
 """Tests of the drawn deployments and of the variants of experiments."""
 
+import pathlib
+import tempfile
 import unittest
 
 from bergamotmount.tools.emulation.model import Deployment
 from bergamotmount.tools.experiment.drawn import SECONDS, draw
+from bergamotmount.tools.experiment.resultfile import Job, ResultFile
 from bergamotmount.tools.experiment.variants import VARIANT_BY_NAME
 
 SEEDS = range(1, 60)
@@ -43,6 +46,20 @@
         self.assertGreater(deployment.rate, 0)
 
 
+class ResultFileTest(unittest.TestCase):
+    """Results outlive a run that is cut off."""
+
+    def test_run_goes_on(self):
+        """A run of half an hour was cut off with nothing to show."""
+        job = Job('base', 'fleet:calm', 1)
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'run.jsonl'
+            ResultFile(path).add(job, 0.5)
+            with path.open('a', encoding='utf-8') as lines:
+                lines.write('{"variant": "ba')
+            self.assertEqual(ResultFile(path).worth_by_job, {job: 0.5})
+
+
 class VariantTest(unittest.TestCase):
     """Each variant replaces something that the product still has."""
 
