Export the age of the evidence on the policy, and the tokens of quotas

Operators could not see how near a node is to refusing all keys, nor what it holds and grants. Counters can export current values now (test_plaincounters).

--- a/bergamotmount/adapters/plaincounters.py
+++ b/bergamotmount/adapters/plaincounters.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from bergamotmount.counters import Counters
 from bergamotmount.forwarding.http import HttpRequest
@@ -32,6 +32,7 @@
     def __init__(self) -> None:
         """Start without counts."""
         self.count_by_labels: collections.Counter = collections.Counter()
+        self._read_by_name: dict[str, Callable[[], float]] = {}
 
     def admitted(self, service: str) -> None:
         """Count a request admitted to the backend server."""
@@ -61,9 +62,16 @@
         """Count a dropped message or connection."""
         self.count_by_labels['dropped', 'reason', reason] += 1
 
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Export a value that ``read`` returns at each scrape."""
+        self._read_by_name[name] = read
+
     def collect(self) -> Iterator:
-        """Return a metric family for each counter name."""
-        from prometheus_client.metrics_core import CounterMetricFamily
+        """Return a metric family for each counter name and each value."""
+        from prometheus_client.metrics_core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+        )
 
         family_by_name: dict[str, CounterMetricFamily] = {}
         for (name, label, label_text), count in self.count_by_labels.items():
@@ -75,6 +83,12 @@
                 )
             family_by_name[name].add_metric([label_text], count)
         yield from family_by_name.values()
+        for name, read in self._read_by_name.items():
+            yield GaugeMetricFamily(
+                f'bergamotmount_{name}',
+                f'Current value of {name}.',
+                value=read(),
+            )
 
     async def handle(self, request: HttpRequest, _: RemoteAddress) -> HttpReply:
         """Handle an HTTP request for the metrics."""
--- a/bergamotmount/counters.py
+++ b/bergamotmount/counters.py
@@ -1,5 +1,7 @@
 """Port for counting decisions; the default implementation does nothing."""
 
+from collections.abc import Callable
+
 from bergamotmount.reasons import (
     DenialReason,
     DropReason,
@@ -33,3 +35,6 @@
 
     def dropped(self, reason: DropReason) -> None:
         """Count a dropped message or connection."""
+
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Export a value that ``read`` returns at each scrape."""
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -153,6 +153,7 @@
                 clock, ports.pool_factory, options.header_names.instance
             )
             self.local_server.confirm_first_with(self._check_health)
+        self._export_values()
         self.is_stopping = False
         self._tasks: list[asyncio.Task] = []
 
@@ -349,6 +350,14 @@
             counters,
         )
 
+    def _export_values(self) -> None:
+        counters, freshness = self.ports.counters, self._policy_access.freshness
+        counters.watch('policy_evidence_age_ms', lambda: freshness.age_ms)
+        counters.watch('quota_tokens_held', lambda: self._quotas.tokens_held)
+        counters.watch(
+            'quota_tokens_granted', lambda: self._quotas.tokens_granted
+        )
+
     def _on_malformed_request(self, reason: str) -> None:
         self.ports.counters.dropped(DropReason.MALFORMED_REQUEST)
         _log.info('Malformed request: {}.', reason)
--- a/bergamotmount/organisations/quotaowner.py
+++ b/bergamotmount/organisations/quotaowner.py
@@ -93,7 +93,10 @@
 
 
 class QuotaOwner:
-    """Answers requests for tokens of the quotas that this node owns."""
+    """Answers requests for tokens of the quotas that this node owns.
+
+    ``granted`` counts the tokens granted since the start.
+    """
 
     def __init__(
         self,
@@ -107,6 +110,7 @@
         self._ring = ring
         self._options = options
         self._find = find
+        self.granted = 0
         self._account_by_name: dict[str, _Account] = {}
         self._owned: dict[str, Organisation] = {}
         self._owners: Sequence[Member] = ()
@@ -154,6 +158,7 @@
         account.holding_by_node[request.node] = _Holding(
             request.held + ahead, self._clock.now_ms()
         )
+        self.granted += granted + ahead
         return QuotaGrant(
             request.sequence,
             organisation.name,
--- a/bergamotmount/organisations/quotas.py
+++ b/bergamotmount/organisations/quotas.py
@@ -48,6 +48,16 @@
         if organisation is not None:
             self._tokens.give_back(organisation)
 
+    @property
+    def tokens_held(self) -> int:
+        """Number of tokens that this node holds."""
+        return self._tokens.held
+
+    @property
+    def tokens_granted(self) -> int:
+        """Number of tokens that this node has granted as an owner."""
+        return self._owner.granted
+
     def check(self) -> None:
         """Follow changes of members and of the policy; call regularly."""
         organisations = self._organisations()
--- a/bergamotmount/organisations/quotatokens.py
+++ b/bergamotmount/organisations/quotatokens.py
@@ -125,6 +125,16 @@
         self._wallet_by_name: dict[str, _Wallet] = {}
         self._sequence = itertools.count(1)
 
+    @property
+    def held(self) -> int:
+        """Number of tokens that this node holds, of all organisations."""
+        now_ms = self._clock.now_ms()
+        return sum(
+            wallet.tokens
+            for wallet in self._wallet_by_name.values()
+            if now_ms < wallet.expires_ms
+        )
+
     async def spend(self, organisation: Organisation) -> NotRun | None:
         """Spend a token on a request; return why it is refused, if it is."""
         if organisation.quota is None:
