Ask again for quota tokens while an owner can't be reached

Cause: after a request had waited in vain, a node refused all of that organisation for 300 ms without asking, so an owner that was back, or a new one, was found late. Change: each refused request asks, at most once at a time, without waiting, and any answer of an owner ends the refusals. Test: test_owner_that_comes_back fails before.

--- a/bergamotmount/organisations/quotatokens.py
+++ b/bergamotmount/organisations/quotatokens.py
@@ -151,6 +151,9 @@
                 self._ask(name, wallet)
             return None
         if now_ms < wallet.refused_until_ms:
+            if wallet.refusal.reason is RefusalReason.QUOTA_UNAVAILABLE:
+                # Without waiting: the next request may find the owner back.
+                self._ask(name, wallet)
             return wallet.refusal
         return await self._wait(name, wallet)
 
@@ -172,6 +175,8 @@
         if not grant.is_owner:
             self._ask_later(grant.organisation, wallet)
             return
+        if wallet.refusal.reason is RefusalReason.QUOTA_UNAVAILABLE:
+            wallet.refused_until_ms = -math.inf
         self._add_tokens(wallet, grant.tokens, ask.sent_ms)
         wallet.serve_waiters()
         if grant.tokens < ask.request.waiting:
--- a/bergamotmount/tests/test_quotas.py
+++ b/bergamotmount/tests/test_quotas.py
@@ -185,6 +185,25 @@
         self.assertEqual(len(owners), 1)
         cluster.close()
 
+    async def test_owner_that_comes_back(self):
+        """Requests were refused for a while although the owner was back."""
+        cluster = QuotaCluster(8, [organisation('o', 100)], seed=1)
+        cluster.start()
+        await asyncio.sleep(SETTLE_S)
+        node = cluster.node_by_name['n-0']
+        owner = cluster.node_by_name[node.ring.owner_of('o').node]
+        self.assertIsNot(owner, node)
+        quota = cluster.organisations['o']
+        owner.side = 'cut'
+        refusal = await node.tokens.spend(quota)
+        self.assertIs(refusal.reason, RefusalReason.QUOTA_UNAVAILABLE)
+        owner.side = ''
+        await asyncio.sleep(0.05)
+        await node.tokens.spend(quota)
+        await asyncio.sleep(0.01)
+        self.assertIsNone(await node.tokens.spend(quota))
+        cluster.close()
+
     async def test_lowered_limit(self):
         """A burst that was saved up outlived the limit that allowed it."""
         cluster = QuotaCluster(4, [organisation('o', 100)], seed=1)
