Drop messages of unknown kinds instead of closing the connection; log early refusals

Cause: a node closed the connection when a frame of an unknown kind arrived, so one quota message would end all calls on it wherever releases are mixed. And a request that was refused because the policy wasn't fresh, or there was none, left no line by its id, which OPERATIONS promises. Change: unknown kinds are counted and dropped; refusals before admission are written like others. Tests: test_message_of_a_later_release_is_dropped and test_node_cut_off_from_all fail before.

--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -111,7 +112,8 @@
         """Return the reply to a request."""
         table = self._deps.route_table()
         if table is None:
-            return self._refusal_reply(NotRun(RefusalReason.NO_POLICY))
+            refusal = NotRun(RefusalReason.NO_POLICY)
+            return self._early_refusal_reply(request, '', refusal)
         route = table.find(
             header_of(request.headers, 'Host') or '',
             request.path,
@@ -122,7 +124,7 @@
             case Denied(reason):
                 return self._denial_reply(request, route, reason)
             case NotRun() as refusal:
-                return self._refusal_reply(refusal)
+                return self._early_refusal_reply(request, route.name, refusal)
             case Identified(organisation):
                 pending = self._new_pending(request, route, table, organisation)
         if pending is None:
@@ -230,23 +232,45 @@
         self, request: HttpRequest, route: Route, reason: DenialReason
     ) -> HttpReply:
         """Return a 401 for a request without an accepted key."""
-        names = self._header_names
         self._counters.denied(reason)
+        self._record_early_end(
+            'denied', request, route.name, RequestOutcome.DENIED, reason
+        )
+        return HttpReply(
+            _UNAUTHORIZED, [_CHALLENGE_HEADER, self._header_names.key_scheme]
+        )
+
+    def _early_refusal_reply(
+        self, request: HttpRequest, route_name: str, refusal: NotRun
+    ) -> HttpReply:
+        """Return the reply to a request that was refused before admission."""
+        self._record_early_end(
+            'refused',
+            request,
+            route_name,
+            RequestOutcome.REFUSED,
+            refusal.reason,
+        )
+        return self._make_refusal(refusal, math.inf)
+
+    def _record_early_end(
+        self,
+        kind: str,
+        request: HttpRequest,
+        route_name: str,
+        outcome: RequestOutcome,
+        reason: str,
+    ) -> None:
         self.decisions.write(
-            'denied',
-            request=header_of(request.headers, names.request_id) or '',
-            route=route.name,
+            kind,
+            request=header_of(request.headers, self._header_names.request_id)
+            or '',
+            route=route_name,
             reason=reason,
         )
         self.totals.record(
-            OutcomeKey(
-                route.name,
-                call=False,
-                outcome=RequestOutcome.DENIED,
-                reason=reason,
-            )
+            OutcomeKey(route_name, call=False, outcome=outcome, reason=reason)
         )
-        return HttpReply(_UNAUTHORIZED, [_CHALLENGE_HEADER, names.key_scheme])
 
     def _failure_reply(self, pending: PendingRequest) -> HttpReply:
         """Return the reply after the last attempt failed."""
@@ -260,28 +284,21 @@
         return self._refusal_reply(pending.refusal, pending)
 
     def _refusal_reply(
-        self, refusal: NotRun, pending: PendingRequest | None = None
+        self, refusal: NotRun, pending: PendingRequest
     ) -> HttpReply:
+        self._log_decision('refused', pending, refusal.reason)
+        self._count_outcome(pending, RequestOutcome.REFUSED, refusal.reason)
+        remaining_ms = pending.caller_deadline_ms - self._clock.now_ms()
+        max_wait_ms = max(remaining_ms, 0) * MAX_RETRY_AFTER_SHARE
+        return self._make_refusal(refusal, max_wait_ms)
+
+    def _make_refusal(self, refusal: NotRun, max_wait_ms: float) -> HttpReply:
         """Return a 429 or 503 with the time after which to retry."""
         self._counters.refused(ENTRY_ROLE, refusal.reason)
         wait_ms: float = refusal.retry_after_ms or DEFAULT_RETRY_AFTER_MS
         if refusal.reason in _UNTIL_SERVERS_ARE_KNOWN:
             wait_ms = NO_SERVER_RETRY_AFTER_MS * self._rng.uniform(1, 1.5)
-        if pending is None:
-            self.totals.record(
-                OutcomeKey(
-                    '',
-                    call=False,
-                    outcome=RequestOutcome.REFUSED,
-                    reason=refusal.reason,
-                )
-            )
-        else:
-            self._log_decision('refused', pending, refusal.reason)
-            self._count_outcome(pending, RequestOutcome.REFUSED, refusal.reason)
-            remaining_ms = pending.caller_deadline_ms - self._clock.now_ms()
-            wait_ms = min(wait_ms, max(remaining_ms, 0) * MAX_RETRY_AFTER_SHARE)
-        seconds = f'{int(wait_ms) / MS_PER_SECOND:.3f}'
+        seconds = f'{int(min(wait_ms, max_wait_ms)) / MS_PER_SECOND:.3f}'
         is_over_quota = refusal.reason is RefusalReason.OVER_QUOTA
         status = _TOO_MANY_REQUESTS if is_over_quota else _UNAVAILABLE
         return HttpReply(status, [self._header_names.retry_after, seconds])
--- a/bergamotmount/tests/test_codec.py
+++ b/bergamotmount/tests/test_codec.py
@@ -258,6 +258,19 @@
         self.assertEqual(await valid_channel.receive(), messages.Ping())
         valid_channel.close()
 
+    async def test_message_of_a_later_release_is_dropped(self):
+        """One message of a new kind ended all calls on the connection."""
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        kind, payload = encode(messages.Ping())
+        later_kind = max(FrameKind) + 1
+        writer.write(pack_frame(later_kind, b'new'))
+        writer.write(pack_frame(kind, payload))
+        answer = await reader.readexactly(len(pack_frame(kind, payload)))
+        self.assertEqual(answer, pack_frame(kind, payload))
+        self.assertEqual(self.counters.counts[DropReason.FRAME_KIND], 1)
+        writer.close()
+
     async def test_peer_compresses_after_compressed_message(self):
         dialer = TcpDialer(Counters(), lambda address: address == self.address)
         channel = await dialer.open(self.address)
--- a/bergamotmount/tests/test_organisations.py
+++ b/bergamotmount/tests/test_organisations.py
@@ -207,8 +207,14 @@
 
     async def test_node_cut_off_from_all(self):
         """It accepts no key any more, and denies none; the rest goes on."""
-        statuses = await self.withdraw_behind_cut(True, True)
+        stream = io.StringIO()
+        with logbook.StreamHandler(stream).applicationbound():
+            statuses = await self.withdraw_behind_cut(True, True)
         self.assertEqual(statuses, (200, 503, 503, 200))
+        # Operators find the cause by the id of the request.
+        self.assertRegex(
+            stream.getvalue(), r'refused request=a1-\d+ .*no_fresh_policy'
+        )
 
 
 class EvidenceTest(VirtualTestCase):
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -387,3 +387,6 @@
     FrameKind.QUOTA_REQUEST: (ttypes.QuotaRequest, _quota_request_from_wire),
     FrameKind.QUOTA_GRANT: (ttypes.QuotaGrant, _quota_grant_from_wire),
 }
+
+#: Kinds of the frames that :func:`decode` accepts.
+KNOWN_KINDS = frozenset(_DECODERS)
--- a/bergamotmount/wire/tcp.py
+++ b/bergamotmount/wire/tcp.py
@@ -7,7 +7,8 @@
 from bergamotmount.counters import Counters
 from bergamotmount.messages import Message
 from bergamotmount.ports import ChannelError
-from bergamotmount.wire.codec import decode, encode
+from bergamotmount.reasons import DropReason
+from bergamotmount.wire.codec import KNOWN_KINDS, decode, encode
 from bergamotmount.wire.compression import (
     COMPRESSED_FLAG,
     FrameCompressor,
@@ -63,10 +64,13 @@
         self._on_open(self)
 
     def data_received(self, received: bytes) -> None:
-        """Decode messages; an invalid frame closes the connection."""
+        """Decode messages; an invalid frame closes the connection.
+
+        A frame of an unknown kind comes from a later release; it is dropped.
+        """
         try:
             for kind, payload in self._splitter.feed(received):
-                self._messages.append(decode(*self._decompress(kind, payload)))
+                self._decode(*self._decompress(kind, payload))
         except FrameError as error:
             self._fail(error)
         if (
@@ -138,6 +142,12 @@
         if not self._transport.is_closing():
             self._transport.abort()
 
+    def _decode(self, kind: int, payload: bytes) -> None:
+        if kind in KNOWN_KINDS:
+            self._messages.append(decode(kind, payload))
+        else:
+            self._counters.dropped(DropReason.FRAME_KIND)
+
     def _fail(self, error: FrameError) -> None:
         self._counters.dropped(error.reason)
         self._end_reason = f'invalid frame: {error.reason}'
