Use one backoff for requests to the store

The verifier's pauses after errors were a second copy of the policy source's. Both use retry.backoff_ms now, through store_backoff_ms: 375, 750 and 1,500 ms at most (300, 600, 1,200, 1,500 before), half of it at least.

--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -22,6 +22,7 @@
     KeyedStore,
     OffsetExpiredError,
     StorePage,
+    store_backoff_ms,
 )
 from bergamotmount.log import part_logger
 from bergamotmount.messages import (
@@ -37,10 +38,6 @@
 #: Time for which a read of the store waits for a newer record.
 LONG_POLL_MS = 20_000
 
-#: Initial and maximum backoff after an error of the store, before jitter.
-INITIAL_RETRY_MS = 300
-MAX_RETRY_MS = 1500
-
 #: Time after a restore of the store in which what it shows may be outdated:
 #: operators and servers write again what was lost.
 ERA_SETTLE_MS = 2000
@@ -87,7 +84,6 @@
         self._clock = clock
         self._store = store
         self._parser = parser
-        self._rng = rng
         self._on_update = on_update
         self._freshness = freshness
         self._has_unreadable_record = False
@@ -95,7 +91,8 @@
         self._known_era: int | None = None
         self._first_era = 0
         self._position: _Position | None = None
-        self._retry_ms: float = INITIAL_RETRY_MS
+        self._rng = rng
+        self._failures = 0
 
     @property
     def version(self) -> int:
@@ -138,9 +135,12 @@
                 await self._read()
             except LogError as error:
                 self._set_reachable(is_reachable=False, detail=str(error))
-                await self._clock.sleep(self._next_backoff_ms())
+                self._failures += 1
+                await self._clock.sleep(
+                    store_backoff_ms(self._failures, self._rng)
+                )
             else:
-                self._retry_ms = INITIAL_RETRY_MS
+                self._failures = 0
                 self._set_reachable(is_reachable=True, detail='')
 
     async def verify(self) -> None:
@@ -275,11 +275,6 @@
             self._position = None
         return page
 
-    def _next_backoff_ms(self) -> float:
-        pause_ms = self._retry_ms * self._rng.uniform(0.5, 1)
-        self._retry_ms = min(self._retry_ms * 2, MAX_RETRY_MS)
-        return pause_ms
-
     def _set_reachable(self, is_reachable: bool, detail: str) -> None:
         if self.is_store_reachable is is_reachable:
             return
--- a/bergamotmount/forwarding/policyverifier.py
+++ b/bergamotmount/forwarding/policyverifier.py
@@ -11,6 +11,7 @@
 
 from bergamotmount.clock import Clock
 from bergamotmount.forwarding.policysource import RoutePolicySource
+from bergamotmount.forwarding.store import store_backoff_ms
 from bergamotmount.log import part_logger
 from bergamotmount.organisations.freshness import PolicyFreshness
 from bergamotmount.ports import LogError
@@ -29,10 +30,6 @@
 #: Interval at which a node without keys in its policy looks for some.
 IDLE_INTERVAL_MS = 500
 
-#: Initial and maximum pause after an error of the store, before jitter.
-INITIAL_RETRY_MS = 300
-MAX_RETRY_MS = 1500
-
 _log = part_logger('policy')
 
 
@@ -51,7 +48,7 @@
         self._source = source
         self._freshness = freshness
         self._rng = rng
-        self._retry_ms = INITIAL_RETRY_MS
+        self._failures = 0
 
     async def run(self) -> None:
         """Verify the policy until cancelled."""
@@ -80,13 +77,9 @@
             await self._source.verify()
         except LogError as error:
             _log.info('Policy not verified: {}.', error)
-            await self._clock.sleep(self._next_retry_ms())
+            self._failures += 1
+            await self._clock.sleep(store_backoff_ms(self._failures, self._rng))
         else:
-            self._retry_ms = INITIAL_RETRY_MS
+            self._failures = 0
             if self._freshness.age_ms > FRUITLESS_READ_PAUSE_MS:
                 await self._clock.sleep(FRUITLESS_READ_PAUSE_MS)
-
-    def _next_retry_ms(self) -> float:
-        pause_ms = self._retry_ms * self._rng.uniform(0.5, 1)
-        self._retry_ms = min(self._retry_ms * 2, MAX_RETRY_MS)
-        return pause_ms
--- a/bergamotmount/forwarding/store.py
+++ b/bergamotmount/forwarding/store.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import dataclasses
+import random
 from typing import Protocol
 
 from bergamotmount.member import Member
 from bergamotmount.ports import LogError
 from bergamotmount.reports import CrashReport
+from bergamotmount.retry import backoff_ms
+
+#: Upper bound of the pause after the first failed request to the store, and the
+#: number of failures up to which it doubles.
+INITIAL_RETRY_MS = 375
+MAX_FAILURES = 3
 
 
 class OffsetExpiredError(LogError):
@@ -113,3 +120,8 @@
 
     async def entries(self) -> StoreEntries:
         """Return all that nodes have published."""
+
+
+def store_backoff_ms(failures: int, rng: random.Random) -> float:
+    """Return the pause after a number of failed requests in a row."""
+    return backoff_ms(INITIAL_RETRY_MS, min(failures, MAX_FAILURES), rng)
