Take late grants of quota tokens, and empty an owner before its first answer after a pause

Found by reading: (1) an answer that took longer than 60 ms was dropped with its tokens, so with 45 ms each way every request was refused. Now its tokens are taken, and what may still arrive is reported as held. (2) An owner that had been suspended answered requests that waited in its socket before it noticed, and granted its whole burst: 100 tokens after 3 s. Now each answer checks first.

--- a/bergamotmount/organisations/quotaowner.py
+++ b/bergamotmount/organisations/quotaowner.py
@@ -119,12 +119,8 @@
 
     def check(self, organisations: Mapping[str, Organisation]) -> None:
         """Follow changes of members and of the policy; call regularly."""
-        now_ms = self._clock.now_ms()
-        if now_ms - self._checked_ms > SUSPENDED_MS:
-            self._account_by_name.clear()
-            self._owned = {}
-            self._owners = ()
-        self._checked_ms = now_ms
+        self._reset_after_suspension()
+        self._checked_ms = self._clock.now_ms()
         owners = self._ring.owners
         if owners is not self._owners or organisations is not self._known:
             self._owners = owners
@@ -135,6 +131,7 @@
 
     def answer(self, request: QuotaRequest) -> QuotaGrant:
         """Return the tokens granted for a request, maybe none."""
+        self._reset_after_suspension()
         organisation = self._find(request.organisation)
         if (
             organisation is None
@@ -166,6 +163,13 @@
             int(retry_after_ms),
         )
 
+    def _reset_after_suspension(self) -> None:
+        """Close all accounts if another node may have granted meanwhile."""
+        suspended_ms = self._clock.now_ms() - self._checked_ms
+        if suspended_ms > SUSPENDED_MS:
+            self._account_by_name.clear()
+            self._owners = ()
+
     def _update_owned(self) -> None:
         """Close the accounts of quotas that this node no longer owns."""
         self._owned = {
--- a/bergamotmount/organisations/quotatokens.py
+++ b/bergamotmount/organisations/quotatokens.py
@@ -73,6 +73,11 @@
     request: QuotaRequest
     sent_ms: float
 
+    @property
+    def asked_ahead(self) -> int:
+        """Number of tokens asked for in addition to those that are held."""
+        return max(self.request.wanted - self.request.held, 0)
+
 
 class _Wallet:
     """Tokens of one organisation, and the requests that wait for some."""
@@ -83,6 +88,7 @@
         self.rate = _RequestRate(clock)
         self.waiters: collections.deque[asyncio.Future] = collections.deque()
         self.ask: _Ask | None = None
+        self.late_ask_by_sequence: dict[int, _Ask] = {}
         self.refusal = NotRun(RefusalReason.OVER_QUOTA)
         self.refused_until_ms = -math.inf
 
@@ -91,6 +97,15 @@
         """Number of tokens to hold."""
         return self.rate.expected_in(HELD_AHEAD_MS)
 
+    def may_hold(self, now_ms: float) -> int:
+        """Return how many tokens it holds if all late answers still arrive."""
+        oldest_ms = now_ms - TOKEN_LIFETIME_MS
+        for sequence, ask in list(self.late_ask_by_sequence.items()):
+            if ask.sent_ms < oldest_ms:
+                self.late_ask_by_sequence.pop(sequence)
+        late_asks = self.late_ask_by_sequence.values()
+        return self.tokens + sum(late.asked_ahead for late in late_asks)
+
     def refuse_waiters(self, refusal: NotRun, until_ms: float) -> None:
         self.refusal = refusal
         self.refused_until_ms = until_ms
@@ -166,10 +181,13 @@
             wallet.tokens += 1
 
     def receive(self, grant: QuotaGrant) -> None:
-        """Process the answer of an owner; drop one that came too late."""
+        """Process the answer of an owner."""
         wallet = self._wallet_by_name.get(grant.organisation)
-        ask = None if wallet is None else wallet.ask
+        if wallet is None:
+            return
+        ask = wallet.ask
         if ask is None or ask.request.sequence != grant.sequence:
+            self._receive_late(grant, wallet)
             return
         wallet.ask = None
         if not grant.is_owner:
@@ -193,6 +211,13 @@
             if not self._wallet_by_name[name].waiters:
                 self._wallet_by_name.pop(name)
 
+    def _receive_late(self, grant: QuotaGrant, wallet: _Wallet) -> None:
+        """Take the tokens of an answer that was no longer awaited."""
+        ask = wallet.late_ask_by_sequence.pop(grant.sequence, None)
+        if ask is not None:
+            self._add_tokens(wallet, grant.tokens, ask.sent_ms)
+            wallet.serve_waiters()
+
     def _wallet(self, name: str) -> _Wallet:
         wallet = self._wallet_by_name.get(name)
         if wallet is None:
@@ -206,7 +231,7 @@
         now_ms = self._clock.now_ms()
         if now_ms >= wallet.expires_ms:
             wallet.tokens = 0
-        wallet.expires_ms = asked_ms + TOKEN_LIFETIME_MS
+        wallet.expires_ms = max(wallet.expires_ms, asked_ms + TOKEN_LIFETIME_MS)
         if now_ms < wallet.expires_ms:
             wallet.tokens += tokens
 
@@ -256,7 +281,7 @@
             self._node,
             len(wallet.waiters),
             wallet.wanted,
-            wallet.tokens,
+            wallet.may_hold(self._clock.now_ms()),
         )
         wallet.ask = _Ask(request, self._clock.now_ms())
         self._clock.call_later(
@@ -267,4 +292,5 @@
     def _give_up(self, name: str, wallet: _Wallet, ask: _Ask) -> None:
         if wallet.ask is ask:
             wallet.ask = None
+            wallet.late_ask_by_sequence[ask.request.sequence] = ask
             self._ask_if_awaited(name, wallet)
--- a/bergamotmount/tests/test_quotas.py
+++ b/bergamotmount/tests/test_quotas.py
@@ -96,6 +96,16 @@
             )
         play.cluster.close()
 
+    async def test_distant_owners(self):
+        """Answers that took longer than expected lost their tokens."""
+        play = QuotaPlay(self, 15, seed=3)
+        play.cluster.latency_s = 0.045
+        await asyncio.sleep(SETTLE_S)
+        await play.offer(1, 20)
+        play.check_bound()
+        self.assertLess(play.refused(), 0.01)
+        play.cluster.close()
+
     async def test_random_faults(self):
         """Each side of a cut, and each restarted owner, minted the quota."""
         for seed in range(12):
@@ -185,6 +195,19 @@
         self.assertEqual(len(owners), 1)
         cluster.close()
 
+    async def test_owner_that_was_suspended(self):
+        """It granted a burst that another node had granted meanwhile."""
+        cluster = QuotaCluster(8, [organisation('o', 100)], seed=1)
+        cluster.start()
+        await asyncio.sleep(SETTLE_S)
+        node = cluster.node_by_name['n-0']
+        owner = cluster.node_by_name[node.ring.owner_of('o').node]
+        cluster.pause(owner.name, 3)
+        await asyncio.sleep(3)
+        grant = owner.owner.answer(QuotaRequest(1, 'o', 'n-0', 100, 0, 0))
+        self.assertEqual(grant.tokens, 0)
+        cluster.close()
+
     async def test_owner_that_comes_back(self):
         """Requests were refused for a while although the owner was back."""
         cluster = QuotaCluster(8, [organisation('o', 100)], seed=1)
--- a/bergamotmount/tools/emulation/quotacluster.py
+++ b/bergamotmount/tools/emulation/quotacluster.py
@@ -122,6 +122,7 @@
         self.outcomes = {each.name: Outcomes() for each in organisations}
         self.incarnation_by_name = dict.fromkeys(self.names, 1)
         self.messages = 0
+        self.latency_s = LATENCY_S
         self.node_by_name: dict[str, QuotaNode] = {}
         for name in self.names:
             self.node_by_name[name] = QuotaNode(self, name)
@@ -161,7 +162,7 @@
         """Deliver a message after the latency of the network."""
         self.messages += 1
         loop = asyncio.get_running_loop()
-        loop.call_later(LATENCY_S, self._arrive, sender, target, message)
+        loop.call_later(self.latency_s, self._arrive, sender, target, message)
 
     async def send(self, node: QuotaNode, name: str) -> None:
         """Send a request of an organisation to a node."""
@@ -242,7 +243,7 @@
         if node.is_paused:
             # It is read when the process goes on.
             asyncio.get_running_loop().call_at(
-                node.paused_until_s + LATENCY_S,
+                node.paused_until_s + self.latency_s,
                 self._arrive,
                 sender,
                 target,
