--- a/bergamotmount/organisations/keyring.py
+++ b/bergamotmount/organisations/keyring.py
@@ -1,8 +1,8 @@
 """Key ring: finds the organisation that holds a key.
 
-Keys are stored as digests that only this process can compute. A copy of its
-memory then doesn't show them, and the time of a lookup doesn't depend on how
-much of a guessed key is right.
+Keys are looked up by digests that only this process can compute, so the time
+of a lookup doesn't depend on how much of a guessed key is right. The policy
+record itself, with the keys, stays in memory to be passed on to peers.
 """
 
 import hashlib
