--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -37,6 +37,10 @@
     """The case couldn't run."""
 
 
+def _take_sighup() -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 def is_troubled() -> bool:
     return os.environ.get('TROUBLE', '1') != '0'
 
@@ -82,9 +86,11 @@
         self.control_address = f'{HOST}:{ports.take()}'
         self.inbound_address = f'{HOST}:{ports.take()}'
         self.first_port = ports.take(16)
+        self.store_address = lab.store_address
         self._lab = lab
         self._starts = 0
         self.process: subprocess.Popen | None = None
+        self.more_settings: list[str] = []
 
     def start(self) -> None:
         """Start the process by the command of the deploy file."""
@@ -107,6 +113,8 @@
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=subprocess.STDOUT,
+            # A script that runs under nohup would hand on that it is ignored.
+            preexec_fn=_take_sighup,
         )
         log.close()
         lab.record.note(self.name, 'start', pid=self.process.pid)
@@ -172,7 +180,7 @@
             'platform.discovery=static',
             'platform.entry_mode=static',
             f'platform.heartbeat_s={self.heartbeat_s}',
-            f'platform.platform.address={self._lab.store_address}',
+            f'platform.platform.address={self.store_address}',
             'platform.platform.form=log',
             'platform.platform.writes_per_s=400',
             'platform.platform.reads_per_s=2000',
@@ -201,6 +209,7 @@
             'terms.bounds.budget_window_s=10',
             'terms.bounds.retry_budget_slack=47',
             'terms.bounds.recovery_s=15',
+            *self.more_settings,
         ]
 
 
