Review: let a script that fails by itself say that it couldn't run

Change: such ends give 2; a case can require that the deployment does its usual work; a portion never exceeds its share.

--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import tomllib
+import traceback
 
 from review.standins.http import ask, pack
 from review.standins.record import Record
@@ -37,6 +38,31 @@
     """The case couldn't run."""
 
 
+def require(is_met: bool, what: str) -> None:
+    """End the case as not run unless the deployment does its usual work."""
+    if not is_met:
+        raise NotRunError(what)
+
+
+class Portion:
+    """Picks a part of all things at random, and never more than its share."""
+
+    def __init__(self, share: float, rng: random.Random) -> None:
+        self.seen = 0
+        self.picked = 0
+        self._share = share
+        self._rng = rng
+
+    def pick(self) -> bool:
+        self.seen += 1
+        is_within = self.picked + 1 <= self.seen * self._share
+        # Drawn more often than the share, so that the bound decides.
+        if is_within and self._rng.random() < 0.5:
+            self.picked += 1
+            return True
+        return False
+
+
 def _take_sighup() -> None:
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
 
@@ -217,6 +243,8 @@
     """The store, the nodes and the record of one case."""
 
     def __init__(self, folder: pathlib.Path) -> None:
+        if not (ROOT / 'target' / 'deps').is_dir():
+            raise NotRunError('target/deps is missing: build first')
         deploy = tomllib.loads(
             (ROOT / 'deploy' / 'system.toml').read_text(encoding='utf-8')
         )
@@ -227,8 +255,6 @@
         self.store = Store(self.record)
         self.store_address = f'{HOST}:{self.ports.take()}'
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
-        if not (ROOT / 'target' / 'deps').is_dir():
-            raise NotRunError('target/deps is missing: build first')
 
     def add_node(self, name: str, zone: str, service: str) -> Node:
         node = Node(self, name, zone, service)
@@ -310,7 +336,9 @@
         lab = Lab(folder)
         async with asyncio.timeout(115):
             has_held = await case(lab)
-    except (NotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        if not isinstance(error, NotRunError):
+            traceback.print_exc()
         print(f'not run: {error!r}', flush=True)
         return EXIT_NOT_RUN
     finally:
