--- a/review/5/case.py
+++ b/review/5/case.py
@@ -55,8 +55,9 @@
     for attempt in attempts:
         client.send(labs.request('GET', 'view', attempt))
         lab.record.note('client', 'sends', attempt=attempt)
-    while not set(attempts) <= started(servers):
-        await asyncio.sleep(0.01)
+    async with asyncio.timeout(5):
+        while not set(attempts) <= started(servers):
+            await asyncio.sleep(0.01)
     if labs.is_troubled():
         node.send_signal(signal.SIGTERM)
     answered = set()
@@ -74,6 +75,7 @@
             break
         answered.add(attempt)
     client.close()
+    labs.require(bool(answered), 'not even the first request was answered')
     lost = (set(attempts) & started(servers)) - answered
     lab.record.say(f'round {number}: passed on and not answered {len(lost)}')
     if labs.is_troubled():
