--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -332,5 +332,6 @@
             rank=pending.rank,
             threshold=pending.threshold,
             tried=','.join(sorted(pending.tried_nodes)),
+            sends=pending.sends,
             left_ms=round(pending.deadline_ms - self._clock.now_ms()),
         )
--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -40,7 +40,7 @@
 from bergamotmount.lifecycle import ServerLifecycle, ServerState
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
-from bergamotmount.reasons import RefusalReason, UnknownReason
+from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
 from bergamotmount.reports import PolicyEvidence
 from bergamotmount.threshold import ThresholdController
 from bergamotmount.thresholdview import ThresholdView
@@ -241,6 +241,8 @@
         if process is self.process:
             self._record_signals(response, sent_ms)
         outcome = self._classify(response)
+        if isinstance(outcome, NotRun):
+            self._log_server_refusal(call, response, connection, sent_ms)
         if _is_success(outcome):
             self._deps.quarantine.record_success(call)
         return outcome
@@ -270,8 +272,19 @@
         """
         request_id = header_of(response.headers, self._header_names.request_id)
         if request_id is None:
-            return connection.requests == 1
-        return request_id == root
+            belongs = connection.requests == 1
+        else:
+            belongs = request_id == root
+        if not belongs:
+            self._counters.dropped(DropReason.STRAY_RESPONSE)
+            self.decisions.write(
+                'stray',
+                request=root,
+                answers=request_id or '',
+                status=response.status,
+                connection=connection.number,
+            )
+        return belongs
 
     async def _record_broken(
         self, call: Call, process: ServerProcess, error: BrokenExchangeError
@@ -378,6 +391,21 @@
                 self._counters.unknown(_ROLE, reason)
                 self._log_decision('unknown', call, reason)
 
+    def _log_server_refusal(
+        self, call: Call, response: HttpResponse, connection, sent_ms: float
+    ) -> None:
+        """Log what a "not run" of the server rests on."""
+        self.decisions.write(
+            'server_refused',
+            request=call.root,
+            instance=self.process.instance,
+            status=response.status,
+            connection=connection.number,
+            place=connection.requests,
+            after_ms=self._clock.now_ms() - sent_ms,
+            tries=call.tries,
+        )
+
     def _log_decision(self, kind: str, call: Call, reason: str) -> None:
         admission = self._deps.admission
         process = self.process
--- a/bergamotmount/forwarding/httpclient.py
+++ b/bergamotmount/forwarding/httpclient.py
@@ -111,6 +111,7 @@
             text = f'{self.address}: {error}'
             raise NotConnectedError(text) from error
         self.opened += 1
+        connection.number = self.opened
         return connection
 
 
--- a/bergamotmount/forwarding/serverconnection.py
+++ b/bergamotmount/forwarding/serverconnection.py
@@ -102,6 +102,7 @@
 class ServerConnection(asyncio.Protocol):
     """One connection to a server.
 
+    ``number`` tells it from the other connections of its pool, in logs.
     ``requests`` counts the requests sent on it. While it is idle, it may be
     reused until ``idle_until_ms``.
     """
@@ -116,6 +117,7 @@
         self.is_usable = True
         self.idle_until_ms: float = 0
         self.idle_since_ms: float = 0
+        self.number = 0
         self.requests = 0
         self._clock = clock
         self._parser = httptools.HttpResponseParser(self)
--- a/bergamotmount/reasons.py
+++ b/bergamotmount/reasons.py
@@ -96,6 +96,7 @@
     FRAME_MALFORMED = 'frame_malformed'
     SILENT_CONNECTION = 'silent_connection'
     MALFORMED_REQUEST = 'malformed_request'
+    STRAY_RESPONSE = 'stray_response'
     INTERNAL_ERROR = 'internal_error'
 
 
--- a/bergamotmount/tests/forwardingfixture.py
+++ b/bergamotmount/tests/forwardingfixture.py
@@ -56,11 +56,12 @@
 
     def __init__(self, server: 'FakeHttpServer') -> None:
         self.server = server
+        self.number = 1
         self.requests = 0
 
     async def exchange(self, packed, matches, is_head=False) -> HttpResponse:
         self.requests += 1
-        request = _parse_request(packed)
+        request = parse_request(packed)
         response = await self.server.serve(request)
         if not matches(response):
             raise BrokenExchangeError('response does not match', True, False)
@@ -214,7 +215,7 @@
                 self.fixture.store.parse,
                 self.counters,
                 random.Random(self.name),
-                lambda _clock, _address: FakePool(self.server),
+                lambda clock, _: self.fixture.pool_factory(clock, self.server),
             ),
         )
         self.node.start()
@@ -287,7 +288,9 @@
         self,
         policy_lease_ms: float = math.inf,
         quota: QuotaOptions = QuotaOptions(),
+        pool_factory: Callable = lambda _clock, server: FakePool(server),
     ) -> None:
+        self.pool_factory = pool_factory
         self.policy_lease_ms = policy_lease_ms
         self.quota = quota
         self.store = FakeStore()
@@ -355,7 +358,8 @@
     return HttpResponse(status, headers, b'done')
 
 
-def _parse_request(packed: bytes) -> HttpRequest:
+def parse_request(packed: bytes) -> HttpRequest:
+    """Return the request whose bytes a node sent to a server."""
     head, _, body = packed.partition(b'\r\n\r\n')
     request_line, *header_lines = head.decode('latin-1').split('\r\n')
     method, target, _ = request_line.split(' ')
