Send a refused request again on another connection only

Callers saw orders run twice, and 503 for orders that had run. Cause: the id in a response tells which request it answers, not which send of it. A gateway sent an order that its server had shed again on the same connection; a second copy of that refusal, late, passed for the answer, and the order went on to another server or was refused while the first ran it.

Change: a connection remembers the requests that were refused on it and carries none of them again, so that on one connection an id names one send. After 64 it is retired, which bounds what it remembers.

--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -204,7 +204,7 @@
     async def _send(self, call: Call, active: ActiveRequest) -> Outcome:
         pool, process = self._pool, self.process
         try:
-            connection = await pool.acquire(is_fresh=not call.idempotent)
+            connection = await pool.acquire(call.root, not call.idempotent)
         except NotConnectedError:
             return self._not_run(RefusalReason.NOT_SERVING)
         try:
@@ -242,6 +242,7 @@
             self._record_signals(response, sent_ms)
         outcome = self._classify(response)
         if isinstance(outcome, NotRun):
+            connection.record_refusal(call.root)
             self._log_server_refusal(call, response, connection, sent_ms)
         if _is_success(outcome):
             self._deps.quarantine.record_success(call)
--- a/bergamotmount/forwarding/httpclient.py
+++ b/bergamotmount/forwarding/httpclient.py
@@ -36,24 +36,18 @@
         self._in_use: set[ServerConnection] = set()
         self._buffer = ResponseBuffer()
 
-    async def acquire(self, is_fresh: bool = False) -> ServerConnection:
+    async def acquire(
+        self, request_id: str = '', is_fresh: bool = False
+    ) -> ServerConnection:
         """Return an idle or new connection for one exchange.
 
-        With ``is_fresh`` it has been idle for ``MAX_FRESH_IDLE_MS`` at most.
-        Raise :class:`NotConnectedError` if none can be opened.
+        No refusal of the request with this id has come on it before. With
+        ``is_fresh`` it has been idle for ``MAX_FRESH_IDLE_MS`` at most. Raise
+        :class:`NotConnectedError` if none can be opened.
         """
-        now_ms = self._clock.now_ms()
-        while self._idle:
-            connection = self._idle[-1]
-            is_old = now_ms - connection.idle_since_ms > MAX_FRESH_IDLE_MS
-            if is_fresh and is_old:
-                break
-            self._idle.pop()
-            if connection.is_usable and now_ms < connection.idle_until_ms:
-                self._in_use.add(connection)
-                return connection
-            connection.close()
-        connection = await self._open()
+        connection = self._take_idle(request_id, is_fresh)
+        if connection is None:
+            connection = await self._open()
         self._in_use.add(connection)
         return connection
 
@@ -95,6 +89,23 @@
             connection.close()
         self._idle.clear()
 
+    def _take_idle(
+        self, request_id: str, is_fresh: bool
+    ) -> ServerConnection | None:
+        now_ms = self._clock.now_ms()
+        for index in reversed(range(len(self._idle))):
+            connection = self._idle[index]
+            is_old = now_ms - connection.idle_since_ms > MAX_FRESH_IDLE_MS
+            if is_fresh and is_old:
+                break
+            if not connection.may_carry(request_id):
+                continue
+            self._idle.pop(index)
+            if connection.is_usable and now_ms < connection.idle_until_ms:
+                return connection
+            connection.close()
+        return None
+
     async def _open(
         self, timeout_ms: float = CONNECT_TIMEOUT_MS
     ) -> ServerConnection:
--- a/bergamotmount/forwarding/serverconnection.py
+++ b/bergamotmount/forwarding/serverconnection.py
@@ -30,6 +30,10 @@
 #: reused.
 KEEP_ALIVE_SHARE = 0.5
 
+#: Number of refused requests after which a connection isn't reused, so that it
+#: needn't remember more of them.
+MAX_REFUSED_REQUESTS = 64
+
 #: Minimum status of a final response; lower ones are interim responses.
 _FINAL_STATUS = 200
 
@@ -119,6 +123,7 @@
         self.idle_since_ms: float = 0
         self.number = 0
         self.requests = 0
+        self._refused_ids: set[str] = set()
         self._clock = clock
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
@@ -229,6 +234,20 @@
         finally:
             self._exchange = None
 
+    def record_refusal(self, request_id: str) -> None:
+        """Record that the server refused a request without running it.
+
+        The request may be sent again, but not on this connection: a second
+        copy of the refusal, late, would pass for the answer.
+        """
+        self._refused_ids.add(request_id)
+        if len(self._refused_ids) >= MAX_REFUSED_REQUESTS:
+            self.is_usable = False
+
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether no refusal of this request came on it before."""
+        return request_id not in self._refused_ids
+
     def close(self) -> None:
         """Close immediately; unsent bytes are dropped."""
         self.is_usable = False
--- a/bergamotmount/tests/forwardingfixture.py
+++ b/bergamotmount/tests/forwardingfixture.py
@@ -67,6 +67,9 @@
             raise BrokenExchangeError('response does not match', True, False)
         return response
 
+    def record_refusal(self, request_id: str) -> None:
+        """Do nothing; the connection isn't used again."""
+
     def close(self) -> None:
         """Do nothing; the connection has no resources."""
 
@@ -78,7 +81,7 @@
         self.server = server
         self.opened = 0
 
-    async def acquire(self, is_fresh=False) -> FakeConnection:
+    async def acquire(self, request_id='', is_fresh=False) -> FakeConnection:
         await asyncio.sleep(0.001)
         if not self.server.is_listening:
             raise NotConnectedError('refused')
--- a/bergamotmount/tests/test_httpclient.py
+++ b/bergamotmount/tests/test_httpclient.py
@@ -9,6 +9,7 @@
     NotConnectedError,
 )
 from bergamotmount.forwarding.serverconnection import (
+    MAX_REFUSED_REQUESTS,
     BrokenExchangeError,
     ServerConnection,
 )
@@ -199,7 +200,7 @@
         self, pool, is_fresh=False, more_headers=''
     ) -> ServerConnection:
         """Complete one exchange and return the connection it used."""
-        connection = await pool.acquire(is_fresh)
+        connection = await pool.acquire(is_fresh=is_fresh)
         task = asyncio.create_task(connection.exchange(b'', lambda _: True))
         await asyncio.sleep(0)
         connection.data_received(response_to('7', more_headers=more_headers))
@@ -228,6 +229,23 @@
         await asyncio.sleep(1.1)
         self.assertIsNot(await self.use(pool), first)
 
+    async def test_refused_request_changes_its_connection(self):
+        """A late copy of the refusal would pass for the next answer."""
+        pool = self.pool()
+        first = await self.use(pool)
+        first.record_refusal('7')
+        self.assertIsNot(await pool.acquire('7'), first)
+        self.assertIs(await pool.acquire('8'), first)
+
+    async def test_connection_with_many_refusals_is_retired(self):
+        """The ids that a connection remembers could grow without bound."""
+        pool = self.pool()
+        connection = await pool.acquire()
+        for number in range(MAX_REFUSED_REQUESTS):
+            self.assertTrue(connection.is_usable)
+            connection.record_refusal(str(number))
+        self.assertFalse(connection.is_usable)
+
     async def test_refused_connection(self):
         """A failure to connect is distinguished from one after sending."""
         pool = ConnectionPool(LoopClock(), '127.0.0.1:1')
--- a/bergamotmount/tools/emulation/server.py
+++ b/bergamotmount/tools/emulation/server.py
@@ -175,9 +175,13 @@
 
     def __init__(self, server: EmulatedServer) -> None:
         """Start without any requests sent."""
+        self.number = 1
         self.requests = 0
         self._server = server
 
+    def record_refusal(self, request_id: str) -> None:
+        """Do nothing: the connection isn't reused."""
+
     async def exchange(
         self,
         packed: bytes,
@@ -210,7 +214,9 @@
         self.opened = 0
         self._server = server
 
-    async def acquire(self, is_fresh: bool = False) -> EmulatedConnection:
+    async def acquire(
+        self, request_id: str = '', is_fresh: bool = False
+    ) -> EmulatedConnection:
         """Return a new connection.
 
         Raise :class:`NotConnectedError` while the server is down.
