Don't send an order back to a gateway that may mix up two sends

Where two releases run side by side, an entry with the fix could still return an order to a gateway without it, which takes a late copy of the first refusal for the answer to the second send: the order runs twice, or is refused though it runs.

Change: a refusal tells whether its gateway tells two sends apart (may_return, a new field; absent from older releases). An order goes back only then; an idempotent request as before. An older entry beside a new gateway is covered by the gateway.

Ruled out: comparing release names of members (heartbeats to an entry may come later than the answer).

--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -338,7 +338,8 @@
         """Return the outcome that a response of the server stands for."""
         headers = response.headers
         if header_of(headers, self._header_names.not_run) is not None:
-            return self._not_run(RefusalReason.SERVER_SHED)
+            shed = self._not_run(RefusalReason.SERVER_SHED)
+            return dataclasses.replace(shed, may_return=True)
         if response.status == _MISDIRECTED:
             self._deps.lifecycle.expire_lease()
             return self._not_run(RefusalReason.NOT_SERVING)
--- a/bergamotmount/forwarding/sender.py
+++ b/bergamotmount/forwarding/sender.py
@@ -237,7 +237,10 @@
         match refusal.reason:
             case RefusalReason.SERVER_SHED:
                 pending.record_reached(server.node)
-                pending.shed_nodes.add(server.node)
+                # A gateway of an older release may take a late copy of this
+                # refusal for the answer to the next send.
+                if refusal.may_return or pending.route.is_idempotent:
+                    pending.shed_nodes.add(server.node)
             case RefusalReason.NOT_SERVING | RefusalReason.DRAINING:
                 self._deps.router.record_failure(server.node)
 
--- a/bergamotmount/outcomes.py
+++ b/bergamotmount/outcomes.py
@@ -36,13 +36,15 @@
 
     ``retry_after_ms`` is the advised delay before a retry, 0 for none.
     ``ticket`` is a new ticket for another attempt at a non-idempotent request,
-    or empty.
+    or empty. With ``may_return`` the node that refused may get the same request
+    again: it can tell the answers to two sends apart.
     """
 
     reason: RefusalReason
     retry_after_ms: int = 0
     ticket: str = ''
     detail: str = ''
+    may_return: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bergamotmount/tests/test_mixedreleases.py
+++ b/bergamotmount/tests/test_mixedreleases.py
@@ -1,6 +1,9 @@
 """Nodes of different releases serve side by side during an upgrade."""
 
+import dataclasses
+
 from bergamotmount.messages import Answer, Message
+from bergamotmount.outcomes import NotRun
 from bergamotmount.tests.forwardingfixture import make_forwarding_fixture
 from bergamotmount.tests.virtualtime import VirtualTestCase
 from bergamotmount.wire.codec import decode, encode
@@ -22,6 +25,45 @@
     return [(delay_ms, answer) for delay_ms, _ in deliveries]
 
 
+def strip_return(message: Message, deliveries: list[Delivery]):
+    """Deliver refusals as a gateway does that may mix up two sends."""
+    if not isinstance(message, Answer):
+        return deliveries
+    if not isinstance(message.outcome, NotRun):
+        return deliveries
+    older = dataclasses.replace(message.outcome, may_return=False)
+    answer = dataclasses.replace(message, outcome=older)
+    return [(delay_ms, answer) for delay_ms, _ in deliveries]
+
+
+class OlderGatewayTest(VirtualTestCase):
+    """A gateway of an older release takes old refusals for new ones."""
+
+    async def receive_counts(self, path: str, method: str) -> list[int]:
+        """Return how often one request arrives at servers that all shed."""
+        fixture = await make_forwarding_fixture()
+        entry = fixture.host_by_name['b1']
+        for _ in range(400):
+            await entry.send(path, method)
+        fixture.network.change_deliveries = strip_return
+        for host in fixture.host_by_name.values():
+            host.server.received.clear()
+            host.server.behaviour = host.server.shed
+        reply = await entry.send(path, method)
+        self.assertEqual(reply.status, 503)
+        counts = list(fixture.received_counts().values())
+        fixture.close()
+        return counts
+
+    async def test_order_does_not_return_to_it(self):
+        """A late copy of its refusal made the order run twice."""
+        self.assertEqual(await self.receive_counts('/buy/1', 'POST'), [2])
+
+    async def test_idempotent_request_returns_to_it(self):
+        """A request that may run twice isn't given up earlier."""
+        self.assertEqual(await self.receive_counts('/a/1', 'GET'), [6])
+
+
 class LaterReasonTest(VirtualTestCase):
     """A node of a later release refuses for a reason unknown here."""
 
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -142,12 +142,13 @@
             wire.status = status
             wire.headers = headers
             wire.body = body
-        case NotRun(reason, retry_after_ms, ticket, detail):
+        case NotRun(reason, retry_after_ms, ticket, detail, may_return):
             wire.outcome = _WireOutcome.NOT_RUN
             wire.reason = reason
             wire.retry_after_ms = retry_after_ms
             wire.ticket = ticket
             wire.detail = detail
+            wire.may_return = may_return
         case Unknown(reason):
             wire.outcome = _WireOutcome.UNKNOWN
             wire.reason = reason
@@ -184,6 +185,7 @@
                 wire.retry_after_ms or 0,
                 wire.ticket or '',
                 wire.detail or '',
+                bool(wire.may_return),
             )
         case _WireOutcome.UNKNOWN:
             return Unknown(_reason_from_wire(UnknownReason, wire.reason))
--- a/bergamotmount/wire/gen/ttypes.py
+++ b/bergamotmount/wire/gen/ttypes.py
@@ -491,6 +491,7 @@
      - crashes
      - evidence_version
      - evidence_age_ms
+     - may_return
 
     """
 
@@ -515,10 +516,11 @@
         'crashes',
         'evidence_version',
         'evidence_age_ms',
+        'may_return',
     )
 
 
-    def __init__(self, attempt=None, outcome=None, status=None, reason=None, headers=None, body=None, tokens=None, retry_after_ms=None, thresholds=None, load_permille=None, ticket=None, detail=None, threshold=None, service_ms=None, allowed=None, demand=None, needs=None, crashes=None, evidence_version=None, evidence_age_ms=None,):
+    def __init__(self, attempt=None, outcome=None, status=None, reason=None, headers=None, body=None, tokens=None, retry_after_ms=None, thresholds=None, load_permille=None, ticket=None, detail=None, threshold=None, service_ms=None, allowed=None, demand=None, needs=None, crashes=None, evidence_version=None, evidence_age_ms=None, may_return=None,):
         self.attempt = attempt
         self.outcome = outcome
         self.status = status
@@ -539,6 +541,7 @@
         self.crashes = crashes
         self.evidence_version = evidence_version
         self.evidence_age_ms = evidence_age_ms
+        self.may_return = may_return
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -676,6 +679,11 @@
                     self.evidence_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.BOOL:
+                    self.may_return = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -781,6 +789,10 @@
             oprot.writeFieldBegin('evidence_age_ms', TType.I32, 20)
             oprot.writeI32(self.evidence_age_ms)
             oprot.writeFieldEnd()
+        if self.may_return is not None:
+            oprot.writeFieldBegin('may_return', TType.BOOL, 21)
+            oprot.writeBool(self.may_return)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2050,6 +2062,7 @@
     (18, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 18
     (19, TType.I64, 'evidence_version', None, None, ),  # 19
     (20, TType.I32, 'evidence_age_ms', None, None, ),  # 20
+    (21, TType.BOOL, 'may_return', None, None, ),  # 21
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/bergamotmount/wire/messages.thrift
+++ b/bergamotmount/wire/messages.thrift
@@ -59,6 +59,7 @@
   18: list<CrashReport> crashes
   19: i64 evidence_version
   20: i32 evidence_age_ms
+  21: bool may_return
 }
 
 struct Cancel {
