Report an unmarked refusal of a server that got an order as unknown

Callers got 503 for an order that a server had run: the entry passed on every status of a server, and callers take 408, 421, 429 and 503 for "not run". Only the header for that, or 421, says so.

Change: such an answer to a request that isn't idempotent is unknown, with the reason unmarked_refusal, at the gateway; the caller gets 502. The entry does the same, for gateways of an older release. Idempotent requests get the server's answer unchanged. One set of statuses serves both.

Ruled out: 500 with the server's stamp (a failure that bears the stamp must have the server's status).

--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -22,6 +22,7 @@
 from bergamotmount.forwarding.headers import HeaderNames
 from bergamotmount.forwarding.http import (
     CONNECTION_HEADERS,
+    NOT_RUN_STATUSES,
     HttpResponse,
     forwarded_headers,
     header_of,
@@ -240,7 +241,7 @@
             return Unknown(UnknownReason.ANSWER_LOST)
         if process is self.process:
             self._record_signals(response, sent_ms)
-        outcome = self._classify(response)
+        outcome = self._classify(response, call.idempotent)
         if isinstance(outcome, NotRun):
             connection.record_refusal(call.root)
             self._log_server_refusal(call, response, connection, sent_ms)
@@ -334,7 +335,7 @@
         if signals.is_leaving:
             self._deps.depart(self.process.instance)
 
-    def _classify(self, response: HttpResponse) -> Outcome:
+    def _classify(self, response: HttpResponse, is_idempotent: bool) -> Outcome:
         """Return the outcome that a response of the server stands for."""
         headers = response.headers
         if header_of(headers, self._header_names.not_run) is not None:
@@ -343,6 +344,8 @@
         if response.status == _MISDIRECTED:
             self._deps.lifecycle.expire_lease()
             return self._not_run(RefusalReason.NOT_SERVING)
+        if response.status in NOT_RUN_STATUSES and not is_idempotent:
+            return Unknown(UnknownReason.UNMARKED_REFUSAL)
         if header_of(headers, 'Content-Encoding') is not None:
             return Unknown(UnknownReason.ANSWER_INCOMPLETE)
         if response.status in _SUCCESSES and not self._is_signed(response):
--- a/bergamotmount/forwarding/http.py
+++ b/bergamotmount/forwarding/http.py
@@ -25,6 +25,9 @@
     )
 )
 
+#: Statuses that callers take for "not run".
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 #: Methods whose requests have a Content-Length even if the body is empty.
 _METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 
--- a/bergamotmount/forwarding/sender.py
+++ b/bergamotmount/forwarding/sender.py
@@ -19,7 +19,11 @@
 from bergamotmount.counters import Counters
 from bergamotmount.forwarding.downstreamservices import DownstreamServices
 from bergamotmount.forwarding.headers import HeaderNames
-from bergamotmount.forwarding.http import encode_header, forwarded_headers
+from bergamotmount.forwarding.http import (
+    NOT_RUN_STATUSES,
+    encode_header,
+    forwarded_headers,
+)
 from bergamotmount.forwarding.latencyrouter import LatencyRouter
 from bergamotmount.forwarding.pendingrequest import PendingRequest, is_success
 from bergamotmount.forwarding.poisonrequests import (
@@ -182,6 +186,14 @@
         if isinstance(reply, Answer):
             self._deps.learn_evidence(reply.evidence, sent_ms)
         match reply:
+            case Answer(outcome=Answered(status)) if (
+                status in NOT_RUN_STATUSES and not pending.route.is_idempotent
+            ):
+                # A gateway of an older release passes these on.
+                self._record_answer(pending, server, reply)
+                self._record_unknown(
+                    pending, server, UnknownReason.UNMARKED_REFUSAL
+                )
             case Answer(outcome=Answered() as answered):
                 self._record_answer(pending, server, reply)
                 return answered
--- a/bergamotmount/reasons.py
+++ b/bergamotmount/reasons.py
@@ -56,6 +56,7 @@
     ANSWER_LATE = 'answer_late'
     ANSWER_INCOMPLETE = 'answer_incomplete'
     ANSWER_TOO_LARGE = 'answer_too_large'
+    UNMARKED_REFUSAL = 'unmarked_refusal'
     HOME_RESTARTED = 'home_restarted'
     HOME_UNREACHABLE = 'home_unreachable'
     TICKET_EXPIRED = 'ticket_expired'
--- a/bergamotmount/tests/test_falserefusals.py
+++ b/bergamotmount/tests/test_falserefusals.py
@@ -5,6 +5,7 @@
 import logbook
 
 from bergamotmount.forwarding.http import HttpRequest, HttpResponse, header_of
+from bergamotmount.forwarding.httpconnection import HttpReply
 from bergamotmount.tests.forwardingfixture import (
     HEADER_NAMES,
     FakeHttpServer,
@@ -47,6 +48,45 @@
         server.behaviour = serve
 
 
+class UnmarkedRefusalTest(VirtualTestCase):
+    """A server that ran an order may answer with the status of a refusal."""
+
+    async def send(
+        self, status: int, path: str, method: str, not_run: bool = False
+    ) -> tuple[HttpReply, int]:
+        """Return the reply if servers answer so, and how often they ran."""
+        fixture = await make_forwarding_fixture()
+
+        async def answer(request: HttpRequest) -> HttpResponse:
+            return make_response(request, status, not_run)
+
+        for host in fixture.host_by_name.values():
+            host.server.behaviour = answer
+        reply = await fixture.host_by_name['b1'].send(path, method)
+        received = fixture.received_counts().total()
+        fixture.close()
+        return reply, received
+
+    async def test_order_that_ran_is_not_reported_as_refused(self):
+        """Callers took the server's 503 for "not run" and ordered again."""
+        for status in (408, 429, 503):
+            reply, received = await self.send(status, '/buy/1', 'POST')
+            self.assertEqual((reply.status, received), (502, 1))
+            self.assertEqual(reply.headers, [])
+
+    async def test_marked_refusal_is_a_refusal(self):
+        """An order that hasn't run is refused, so that it may come back."""
+        for status in (408, 421, 429, 503):
+            reply, _ = await self.send(status, '/buy/1', 'POST', not_run=True)
+            self.assertEqual(reply.status, 503)
+
+    async def test_idempotent_request_gets_the_servers_answer(self):
+        """A request that may run twice gets the status and the body."""
+        reply, received = await self.send(503, '/a/1', 'GET')
+        self.assertEqual((reply.status, received), (503, 1))
+        self.assertEqual(reply.body, b'done')
+
+
 class LateSecondRefusalTest(VirtualTestCase):
     """A second copy of a refusal isn't the answer to the next send."""
 
--- a/bergamotmount/tests/test_mixedreleases.py
+++ b/bergamotmount/tests/test_mixedreleases.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from bergamotmount.messages import Answer, Message
-from bergamotmount.outcomes import NotRun
+from bergamotmount.outcomes import Answered, NotRun
 from bergamotmount.tests.forwardingfixture import make_forwarding_fixture
 from bergamotmount.tests.virtualtime import VirtualTestCase
 from bergamotmount.wire.codec import decode, encode
@@ -36,6 +36,17 @@
     return [(delay_ms, answer) for delay_ms, _ in deliveries]
 
 
+def make_busy(message: Message, deliveries: list[Delivery]):
+    """Deliver each answer of a server as if its status were 503."""
+    if not isinstance(message, Answer):
+        return deliveries
+    if not isinstance(message.outcome, Answered):
+        return deliveries
+    busy = dataclasses.replace(message.outcome, status=503)
+    answer = dataclasses.replace(message, outcome=busy)
+    return [(delay_ms, answer) for delay_ms, _ in deliveries]
+
+
 class OlderGatewayTest(VirtualTestCase):
     """A gateway of an older release takes old refusals for new ones."""
 
@@ -59,6 +70,15 @@
         """A late copy of its refusal made the order run twice."""
         self.assertEqual(await self.receive_counts('/buy/1', 'POST'), [2])
 
+    async def test_answer_that_looks_like_a_refusal(self):
+        """It passed on a 503 for an order that the server had run."""
+        fixture = await make_forwarding_fixture()
+        fixture.network.change_deliveries = make_busy
+        reply = await fixture.host_by_name['b1'].send('/buy/1', 'POST')
+        self.assertEqual(reply.status, 502)
+        self.assertEqual(list(fixture.received_counts().values()), [1])
+        fixture.close()
+
     async def test_idempotent_request_returns_to_it(self):
         """A request that may run twice isn't given up earlier."""
         self.assertEqual(await self.receive_counts('/a/1', 'GET'), [6])
