Tell a server's late second response from the present one (own interface)

The product's own interface compared no id at all: on a connection in use again a second copy of an earlier refusal, late, counted as "not run" for a request that then ran, and a second copy of an answer was returned to another request.

Change: each request carries Bergamot-Attempt, which a server repeats. Another value: the response is dropped, its connection closed, the outcome unknown. What remains: a late second answer of a server that doesn't repeat the header can't be told from the present one; the library reads it as the next.

Ruled out: closing the response (the library returns the connection to its pool as soon as a response without a body is read; the trial reused it).

Evidence: two new tests failed before (ServerShed for a request that ran, and an answer to another request). Servers here: real sockets on loopback. A head cut off at each of its bytes is lost here too (test_truncated_head_is_lost, passed before the change as well).

--- a/bergamotmount/adapters/headers.py
+++ b/bergamotmount/adapters/headers.py
@@ -14,6 +14,7 @@
 RETRY_AFTER = 'Retry-After'
 RETRY_AFTER_MS = 'Bergamot-Retry-After-Ms'
 NOT_RUN = 'Bergamot-Not-Run'
+ATTEMPT = 'Bergamot-Attempt'
 
 _RESERVED_PREFIX = 'bergamot-'
 _MAX_CACHED_NAMES = 1024
--- a/bergamotmount/adapters/server.py
+++ b/bergamotmount/adapters/server.py
@@ -1,4 +1,13 @@
-"""HTTP client of the backend server on this host."""
+"""HTTP client of the backend server on this host.
+
+A connection carries one request after another, and a faulty server may write a
+response once more, late. Each request has an id of its own, which a server
+repeats in its response; a response with another id belongs to no request. A
+refusal without one is believed only on a new connection.
+"""
+
+import dataclasses
+import itertools
 
 import aiohttp
 import yarl
@@ -26,6 +35,47 @@
 _MAX_CACHED_URLS = 10_000
 
 
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    """One request as sent: its id, and whether its connection is new."""
+
+    attempt: str
+    is_on_new_connection: bool = False
+
+
+async def _mark_new_connection(
+    _session: aiohttp.ClientSession,
+    context: aiohttp.TraceConfig,
+    _event: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    context.trace_request_ctx.is_on_new_connection = True
+
+
+def _trace_new_connections() -> aiohttp.TraceConfig:
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_mark_new_connection)
+    return trace
+
+
+class _Response(aiohttp.ClientResponse):
+    """Response that can close its connection after its end.
+
+    By then the library has returned the connection to its pool.
+    """
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        """Remember the connection and receive the head."""
+        self._used_protocol = connection.protocol
+        return await super().start(connection)
+
+    def close_connection(self) -> None:
+        """Close the connection, so that no request is sent on it again."""
+        self._used_protocol.close()
+        self.close()
+
+
 class HttpBackendServer:
     """Implementation of the ``BackendServer`` port over HTTP."""
 
@@ -44,6 +94,7 @@
         self._base_url = yarl.URL(base_url)
         self._max_answer_bytes = max_answer_bytes
         self._url_by_operation: dict[str, yarl.URL] = {}
+        self._attempts = itertools.count(1)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=connections,
@@ -53,6 +104,8 @@
             skip_auto_headers=_SKIPPED_HEADERS,
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(),
+            trace_configs=[_trace_new_connections()],
+            response_class=_Response,
         )
         # The library resends requests of some methods when the connection
         # breaks. Only the egress decides on retries.
@@ -92,13 +145,19 @@
         request_headers[headers.PARENT] = parent
         request_headers[headers.DEADLINE] = str(int(remaining_ms))
         request_headers[headers.ROOT] = call.root
+        sent = _Sent(str(next(self._attempts)))
+        request_headers[headers.ATTEMPT] = sent.attempt
         async with self._session.request(
             call.method,
             self._url(call.operation),
             data=call.body or None,
             headers=request_headers,
             allow_redirects=False,
+            trace_request_ctx=sent,
         ) as response:
+            if not _is_response_to(response, sent):
+                response.close_connection()
+                return ServerLost()
             return await self._read_reply(response)
 
     async def _read_reply(
@@ -141,6 +200,13 @@
         return url
 
 
+def _is_response_to(response: aiohttp.ClientResponse, sent: _Sent) -> bool:
+    attempt = response.headers.get(headers.ATTEMPT)
+    if attempt is not None:
+        return attempt == sent.attempt
+    return sent.is_on_new_connection or headers.NOT_RUN not in response.headers
+
+
 def _has_delimited_body(response: aiohttp.ClientResponse) -> bool:
     if response.status in _NO_BODY_STATUSES or response.method == 'HEAD':
         return True
--- a/bergamotmount/tests/test_server.py
+++ b/bergamotmount/tests/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the backend server's adapter against servers that misbehave."""
 
 import asyncio
+import re
 import unittest
 
 from bergamotmount.adapters.server import HttpBackendServer
@@ -8,6 +9,7 @@
 from bergamotmount.messages import Call
 from bergamotmount.outcomes import Answered
 from bergamotmount.ports import ServerLost, ServerShed, ServerUnreached
+from bergamotmount.tests.test_httpclient import prefixes_of
 
 COMPLETE_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody'
 
@@ -43,6 +45,29 @@
             writer.write(answer)
         writer.close()
 
+    async def restart(
+        self, head: bytes, echoes: bool, body: bytes = b''
+    ) -> None:
+        """Serve anew: the second answer on a connection repeats the first."""
+        await self.asyncTearDown()
+
+        async def serve(reader, writer):
+            first = b''
+            for _ in range(2):
+                try:
+                    asked = await reader.readuntil(b'\r\n\r\n')
+                except asyncio.IncompleteReadError:
+                    break
+                attempt = re.search(rb'Bergamot-Attempt: \d+\r\n', asked)
+                echo = attempt.group() if echoes else b''
+                first = first or head + echo + b'\r\n' + body
+                writer.write(first)
+            writer.close()
+
+        self.listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = self.listener.sockets[0].getsockname()[1]
+        self.server = HttpBackendServer(Clock(), f'http://127.0.0.1:{port}', 1)
+
     async def run_call(self, method: str = 'POST', remaining_ms: float = 5000):
         call = make_call(method)
         return await self.server.run(call, 'parent-key', remaining_ms)
@@ -86,6 +111,33 @@
         )
         self.assertEqual(await self.run_call(), ServerShed())
 
+    async def test_second_copy_of_a_refusal_is_no_refusal(self):
+        """A server writes a refusal once more, late; the request then runs.
+
+        It counted as not run, so that it ran again elsewhere.
+        """
+        refusal = (
+            b'HTTP/1.1 503 Busy\r\nBergamot-Not-Run: 1\r\nContent-Length: 0\r\n'
+        )
+        for echoes in (False, True):
+            await self.restart(refusal, echoes)
+            self.assertEqual(await self.run_call(), ServerShed())
+            self.assertIsInstance(await self.run_call(), ServerLost)
+            self.assertEqual(await self.run_call(), ServerShed())
+
+    async def test_answer_to_an_earlier_request_is_lost(self):
+        """A second copy of an answer, late, was returned to the next one."""
+        await self.restart(COMPLETE_ANSWER[:-6], echoes=True, body=b'body')
+        self.assertIsInstance(await self.run_call(), Answered)
+        self.assertIsInstance(await self.run_call(), ServerLost)
+        self.assertIsInstance(await self.run_call(), Answered)
+
+    async def test_truncated_head_is_lost(self):
+        """A head that is cut off was not a whole answer without a body."""
+        for self.answer in prefixes_of(COMPLETE_ANSWER):
+            with self.subTest(answer=self.answer):
+                self.assertIsInstance(await self.run_call(), ServerLost)
+
     async def test_answer_over_the_limit_is_lost_as_too_large(self):
         self.answer = b'HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n'
         self.assertEqual(await self.run_call(), ServerLost(too_large=True))
--- a/bergamotmount/tools/standin_server.py
+++ b/bergamotmount/tools/standin_server.py
@@ -123,7 +123,11 @@
             return web.Response(status=404)
         if self._in_flight >= self._max_in_flight:
             self._counts.shed += 1
-            return web.Response(status=503, headers={headers.NOT_RUN: '1'})
+            attempt = request.headers.get(headers.ATTEMPT, '')
+            return web.Response(
+                status=503,
+                headers={headers.NOT_RUN: '1', headers.ATTEMPT: attempt},
+            )
         self._in_flight += 1
         self._load_history.append(self._in_flight)
         try:
