--- a/bergamotmount/tests/test_httpclient.py
+++ b/bergamotmount/tests/test_httpclient.py
@@ -25,6 +25,11 @@
     return f'{head}Content-Length: {len(body)}\r\n\r\n'.encode() + body
 
 
+def prefixes_of(packed: bytes) -> list[bytes]:
+    """Return all shorter beginnings of a message."""
+    return [packed[:end] for end in range(len(packed))]
+
+
 class ClientTestCase(VirtualTestCase):
     """One connection to a server whose bytes the test supplies."""
 
@@ -129,6 +134,55 @@
         self.assertTrue(self.transport.is_closed)
 
 
+class TruncatedHeadTest(ClientTestCase):
+    """A head that is cut off isn't taken for a response with a short body.
+
+    A server may stop in the middle of its head and close the connection.
+    """
+
+    INTERIM = b'HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n'
+    UNFRAMED = b'HTTP/1.1 200 OK\r\nId: 7\r\nStamp: s\r\n\r\n'
+    CHUNKED = (
+        b'HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'3\r\nabc\r\n0\r\n\r\n'
+    )
+
+    async def is_broken(self, *parts: bytes) -> bool:
+        """Return whether the exchange fails if the server then closes."""
+        connection = self.connect()
+        task = await self.start(connection)
+        for part in parts:
+            connection.data_received(part)
+        connection.eof_received()
+        connection.connection_lost(None)
+        try:
+            await task
+        except BrokenExchangeError:
+            return True
+        return False
+
+    async def test_every_prefix_breaks_the_exchange(self):
+        """Also behind an interim response, which has no length either."""
+        for packed in (response_to('7'), self.UNFRAMED, self.CHUNKED):
+            for cut in prefixes_of(packed):
+                self.assertTrue(await self.is_broken(cut), cut)
+                self.assertTrue(await self.is_broken(self.INTERIM, cut), cut)
+                self.assertTrue(await self.is_broken(self.INTERIM + cut), cut)
+
+    async def test_cut_head_on_a_reused_connection(self):
+        """The state of the response before must not complete the next."""
+        for cut in prefixes_of(self.UNFRAMED):
+            connection = self.connect()
+            first = await self.start(connection)
+            connection.data_received(self.INTERIM + response_to('7'))
+            await first
+            second = await self.start(connection)
+            connection.data_received(cut)
+            connection.eof_received()
+            with self.assertRaises(BrokenExchangeError):
+                await second
+
+
 class LeftoverTest(ClientTestCase):
     """Bytes of another response must not become the answer to a request.
 
