Answer pipelined requests when a node stops

Cause: from the signal on the next reply closed its connection, and the requests behind it were cancelled.

Change: while stopping, the last reply that a connection owes closes it, not the next one.

Evidence: test_stopping_server_answers_pipelined_requests got one reply of three before.

--- a/bergamotmount/forwarding/httpconnection.py
+++ b/bergamotmount/forwarding/httpconnection.py
@@ -186,6 +186,14 @@
                 if elapsed_ms > limits.idle_timeout_ms:
                     self.close()
 
+    def answer_pending(self, status: int) -> None:
+        """Cancel the requests without a reply and answer them like this."""
+        for pipelined in self.pipeline:
+            if pipelined.reply is None:
+                pipelined.task.cancel()
+                pipelined.reply = HttpReply(status)
+        self._flush()
+
     def close(self) -> None:
         """Close after the written bytes have been sent."""
         if self._transport is not None:
@@ -230,7 +238,8 @@
             self.restart_timer()
 
     def _write(self, pipelined: _PipelinedRequest, reply: HttpReply) -> bool:
-        closes = reply.closes or pipelined.closes or self._server.is_closing
+        is_last = self._server.is_closing and not self.pipeline
+        closes = reply.closes or pipelined.closes or is_last
         request = pipelined.request
         is_head = request is not None and request.method == 'HEAD'
         packed = pack_response(
--- a/bergamotmount/tests/test_httpserver.py
+++ b/bergamotmount/tests/test_httpserver.py
@@ -160,6 +160,35 @@
         written = await self.settle(0.1)
         self.assertIn(b'Connection: close', written)
 
+    async def test_stopping_server_answers_pipelined_requests(self):
+        """The first reply closed the connection and cut the others."""
+        connection = self.connect()
+        self.delay_ms_by_target = {'/a/1': 50, '/a/2': 90}
+        second = GET.replace(b'/a/1', b'/a/2')
+        connection.data_received(GET + second + GET)
+        await self.settle()
+        self.server.disable_keep_alive()
+        written = await self.settle(0.2)
+        self.assertEqual(written.count(b' 200 '), 3)
+        self.assertEqual(self.cancelled, [])
+        head, _, last = written.rpartition(b'HTTP/1.1')
+        self.assertNotIn(b'Connection: close', head)
+        self.assertIn(b'Connection: close', last)
+        self.assertTrue(self.transport.has_eof)
+
+    async def test_pending_requests_get_a_final_answer(self):
+        """At the end of a stop they were cut without an answer."""
+        connection = self.connect()
+        self.delay_ms_by_target = {'/a/1': 5000}
+        connection.data_received(GET + GET.replace(b'/a/1', b'/a/2'))
+        await self.settle()
+        self.server.disable_keep_alive()
+        self.server.answer_pending(502)
+        written = await self.settle()
+        statuses = [part[1:4] for part in written.split(b'HTTP/1.1')[1:]]
+        self.assertEqual(statuses, [b'502', b'200'])
+        self.assertEqual(self.cancelled, ['/a/1'])
+
 
 class MalformedTest(ServerTestCase):
     """Ambiguous requests must be rejected and never forwarded.
--- a/bergamotmount/tests/test_server.py
+++ b/bergamotmount/tests/test_server.py
@@ -134,8 +134,9 @@
 
     async def test_truncated_head_is_lost(self):
         """A head that is cut off was not a whole answer without a body."""
-        for self.answer in prefixes_of(COMPLETE_ANSWER):
-            with self.subTest(answer=self.answer):
+        for cut in prefixes_of(COMPLETE_ANSWER):
+            self.answer = cut
+            with self.subTest(answer=cut):
                 self.assertIsInstance(await self.run_call(), ServerLost)
 
     async def test_answer_over_the_limit_is_lost_as_too_large(self):
