Refuse requests that complete late in a stop, and answer those left at its end

Requests still without a reply at the end were cut too.

Cause: the node stopped listening and closed idle connections, but a connection that was receiving a request counted neither as idle nor as pending.

Change: after the notice the entry refuses new requests (503, draining, time to return), the node waits for requests that are being received and for callers that read their last reply, within the same bound; what has no reply then gets 502.

Ruled out: closing such connections at the end of the notice (a caller that has sent a whole order would get no answer); passing on what could be done in time (a server's work time isn't known well enough to promise it).

--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -63,12 +63,14 @@
 #: Maximum Retry-After, as a share of the time left until the caller's deadline.
 MAX_RETRY_AFTER_SHARE = 1 / 3
 
+#: Status of a failure after which a request may have run.
+BAD_GATEWAY = 502
+
 _BAD_REQUEST = 400
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
 _TOO_MANY_REQUESTS = 429
 _SERVER_ERROR = 500
-_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _CHALLENGE_HEADER = 'WWW-Authenticate'
@@ -105,14 +107,17 @@
         self._header_names = header_names
         self._counters = counters
         self._rng = rng
+        self._stop_refusal: NotRun | None = None
         self.decisions = DecisionLog(clock, 'entry')
         self.totals = OutcomeTotals(clock, 'entry')
 
     async def handle(self, request: HttpRequest, _: RemoteAddress) -> HttpReply:
         """Return the reply to a request."""
         table = self._deps.route_table()
+        refusal = self._stop_refusal
         if table is None:
             refusal = NotRun(RefusalReason.NO_POLICY)
+        if refusal is not None:
             return self._early_refusal_reply(request, '', refusal)
         route = table.find(
             header_of(request.headers, 'Host') or '',
@@ -140,6 +145,10 @@
             self._deps.active_requests.record_answer(route.name, pending.parent)
         return reply
 
+    def refuse_new(self, retry_after_ms: float) -> None:
+        """Refuse all requests from now on, as this node stops."""
+        self._stop_refusal = NotRun(RefusalReason.DRAINING, int(retry_after_ms))
+
     def check_head(self, request: HttpRequest) -> int | None:
         """Return the status of a request that is denied whatever its body."""
         table = self._deps.route_table()
@@ -280,7 +289,7 @@
                 pending, RequestOutcome.UNKNOWN, pending.unknown_reason
             )
             is_late = pending.unknown_reason is UnknownReason.ANSWER_LATE
-            return HttpReply(_GATEWAY_TIMEOUT if is_late else _BAD_GATEWAY)
+            return HttpReply(_GATEWAY_TIMEOUT if is_late else BAD_GATEWAY)
         return self._refusal_reply(pending.refusal, pending)
 
     def _refusal_reply(
--- a/bergamotmount/forwarding/httpserver.py
+++ b/bergamotmount/forwarding/httpserver.py
@@ -50,6 +50,14 @@
         """Number of received requests without a reply."""
         return sum(len(each.pipeline) for each in self.connections)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or waits for its reply.
+
+        Also whether a caller may still be reading its last reply.
+        """
+        return not all(each.is_idle for each in self.connections)
+
     async def start(self, address: str) -> None:
         """Listen on ``ip:port``; raise ``OSError`` if that fails."""
         host, _, port = address.rpartition(':')
@@ -74,7 +82,7 @@
             self._server = None
 
     def disable_keep_alive(self) -> None:
-        """Close each connection after its next reply."""
+        """Close each connection once all its requests have replies."""
         self.is_closing = True
 
     def close_idle(self) -> None:
@@ -83,6 +91,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def answer_pending(self, status: int) -> None:
+        """Give up the requests without a reply and answer them like this."""
+        for connection in list(self.connections):
+            connection.answer_pending(status)
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self.stop_listening()
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -15,7 +15,11 @@
 from bergamotmount.forwarding.crashpublisher import CrashPublisher
 from bergamotmount.forwarding.directory import Directory
 from bergamotmount.forwarding.downstreamservices import DownstreamServices
-from bergamotmount.forwarding.entry import Entry, EntryDependencies
+from bergamotmount.forwarding.entry import (
+    BAD_GATEWAY,
+    Entry,
+    EntryDependencies,
+)
 from bergamotmount.forwarding.gateway import Gateway, GatewayDependencies
 from bergamotmount.forwarding.healthcheck import Health, HealthChecker
 from bergamotmount.forwarding.httpconnection import HttpLimits
@@ -184,7 +188,9 @@
     async def stop(self) -> None:
         """Stop gracefully: finish requests in flight, then leave the peers.
 
-        ``max_drain_ms`` of the options bounds the wait for requests.
+        Requests that arrive after the notice, on connections that are still
+        open, are refused. ``max_drain_ms`` of the options bounds the wait for
+        the others; those without a reply by then get a final one.
         """
         clock = self.ports.clock
         stop = self.options.stop
@@ -193,12 +199,14 @@
         self.caller_server.disable_keep_alive()
         self.local_server.lifecycle.drain()
         await clock.sleep(stop.notice_ms)
+        self.entry.refuse_new(stop.max_drain_ms - stop.notice_ms)
         self.caller_server.stop_listening()
         self.caller_server.close_idle()
         while self._has_pending_requests():
             if clock.now_ms() - started_ms > stop.max_drain_ms:
                 break
             await clock.sleep(STOP_CHECK_INTERVAL_MS)
+        self.caller_server.answer_pending(BAD_GATEWAY)
         self.heartbeats.disseminate(self.members.announce(MemberState.LEFT))
         self.heartbeats.send_final_updates()
         await self._withdraw()
@@ -446,7 +454,7 @@
 
     def _has_pending_requests(self) -> bool:
         return bool(
-            self.caller_server.pending_requests
+            self.caller_server.is_busy
             or self.peer_server.active_calls
             or self.admission.in_flight
         )
--- a/bergamotmount/tests/test_forwarding.py
+++ b/bergamotmount/tests/test_forwarding.py
@@ -5,7 +5,9 @@
 import logbook
 
 from bergamotmount.forwarding.http import header_of
+from bergamotmount.forwarding.httpconnection import Connection
 from bergamotmount.reasons import RefusalReason
+from bergamotmount.tests.faketransport import FakeTransport
 from bergamotmount.tests.forwardingfixture import (
     HEADER_NAMES,
     default_routes,
@@ -392,6 +394,68 @@
         fixture.close()
 
 
+class LateRequestTest(VirtualTestCase):
+    """A stopping node takes no request that it couldn't finish.
+
+    The head of an order begins to arrive before the node stops listening; the
+    rest comes late in the stop.
+    """
+
+    def connect(self, host) -> tuple[Connection, FakeTransport]:
+        """Return a caller's connection to the node of a host."""
+        connection = Connection(host.node.caller_server)
+        transport = FakeTransport(connection)
+        connection.connection_made(transport)
+        return connection, transport
+
+    def order(self, request_id: str) -> bytes:
+        """Return the bytes of an order."""
+        names = HEADER_NAMES
+        return (
+            'POST /buy/1 HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\n'
+            f'{names.request_id}: {request_id}\r\n'
+            f'{names.deadline}: 5000\r\n\r\nx'
+        ).encode()
+
+    async def send_late(self, other: bytes) -> FakeTransport:
+        """Send an order late in a stop, beside another request."""
+        self.fixture = await make_forwarding_fixture(
+            route('buy', '/buy/', is_idempotent=False, timeout_ms=9000)
+        )
+        for name in ('a1', 'a2'):
+            self.fixture.host_by_name[name].server.service_ms = 4900
+        host = self.fixture.host_by_name['b1']
+        connection, transport = self.connect(host)
+        stopping = asyncio.create_task(host.node.stop())
+        self.connect(host)[0].data_received(other)
+        order = self.order('late')
+        await asyncio.sleep(2.4)
+        connection.data_received(order[:20])
+        await asyncio.sleep(2.4)
+        connection.data_received(order[20:])
+        await asyncio.sleep(0.01)
+        self.answer_at_once = bytes(transport.written)
+        await stopping
+        return transport
+
+    def check_refused(self, transport: FakeTransport) -> None:
+        """Check that the order was refused at once, and not passed on."""
+        self.assertTrue(self.answer_at_once.startswith(b'HTTP/1.1 503 '))
+        self.assertIn(b'Retry-After: ', self.answer_at_once)
+        self.assertEqual(self.answer_at_once, transport.written)
+        self.assertNotIn('late', self.fixture.received_counts())
+        self.fixture.close()
+
+    async def test_only_request_is_refused(self):
+        """It was cut without an answer when it was about to complete."""
+        self.check_refused(await self.send_late(b''))
+
+    async def test_request_beside_another_is_refused(self):
+        """It was passed on, and cut without an answer at the end."""
+        self.check_refused(await self.send_late(self.order('earlier')))
+        self.assertEqual(self.fixture.received_counts()['earlier'], 1)
+
+
 class OverloadTest(VirtualTestCase):
     """The server never receives more requests than its limit allows."""
 
