Add a soak of real node processes under seeded faults

Nodes run as in production; store, servers and callers are stand-ins. Servers shed, repeat, lose, truncate and garble responses and answer 503 unmarked; nodes are stopped, killed, paused, told to reload; servers leave; policies change; all overlapping.

--- /dev/null
+++ b/bergamotmount/soak/soakrun.py
@@ -0,0 +1,270 @@
+"""One run of the soak: deployment, callers, and faults drawn from a seed."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+import tempfile
+from collections.abc import Coroutine
+
+from bergamotmount.clock import Clock
+from bergamotmount.soak.callers import Caller
+from bergamotmount.soak.deployment import NodeProcess, PortRange
+from bergamotmount.soak.ledger import Breach, Ledger
+from bergamotmount.soak.standinserver import (
+    Misbehaviour,
+    ServerAddresses,
+    StandinServer,
+)
+from bergamotmount.soak.standinstore import StandinStore
+
+#: Time for the nodes to find each other before callers come.
+SETTLE_S = 4
+
+#: Time after the last fault in which callers still send.
+QUIET_S = 3
+
+#: Time in which a node ends after SIGTERM; then it gets SIGKILL.
+GRACE_S = 6
+
+_SERVICES = ('desk', 'board')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoakOptions:
+    """What a run consists of.
+
+    Nodes start from one of ``releases``, checkouts of the source; each restart
+    draws one anew. With ``kills`` processes are killed and paused.
+    """
+
+    seed: int
+    seconds: float
+    nodes: int
+    releases: tuple[pathlib.Path, ...]
+    kills: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoakOutcome:
+    """The broken promises of a run, how requests ended, and the logs."""
+
+    breaches: list[Breach]
+    summary: dict[str, int]
+    folder: pathlib.Path
+
+
+class SoakRun:
+    """Plays one run; all processes that it started have ended after it."""
+
+    def __init__(self, options: SoakOptions) -> None:
+        """Prepare a run; nothing is started."""
+        self._options = options
+        self._rng = random.Random(options.seed)
+        self._clock = Clock()
+        self._ledger = Ledger(self._clock)
+        self._folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
+        # A loopback address of its own lets runs go side by side.
+        host_rng = random.SystemRandom()
+        self._host = (
+            f'127.{host_rng.randrange(1, 64)}.{host_rng.randrange(256)}.1'
+        )
+        self._ports = PortRange(self._host, self._rng)
+        self._store = StandinStore(self._clock)
+        self._nodes: list[NodeProcess] = []
+        self._server_by_node: dict[str, StandinServer] = {}
+        self._lives = 0
+        self._version = 0
+
+    async def play(self) -> SoakOutcome:
+        """Play the run and return its outcome."""
+        tasks: list[asyncio.Task] = []
+        try:
+            await self._start()
+            await asyncio.sleep(SETTLE_S)
+            tasks = [asyncio.create_task(each) for each in self._callers()]
+            await self._inject_faults()
+            await self._end_faults()
+        finally:
+            await self._close(tasks)
+        return SoakOutcome(
+            self._ledger.breaches(), self._ledger.summary(), self._folder
+        )
+
+    async def _start(self) -> None:
+        store_address = f'{self._host}:{self._ports.take(1)}'
+        await self._store.start(store_address)
+        self._publish()
+        for number in range(self._options.nodes):
+            node = NodeProcess(
+                f'node-{number}',
+                _SERVICES[number % len(_SERVICES)],
+                self._ports,
+                self._host,
+                store_address,
+                self._folder,
+            )
+            self._nodes.append(node)
+            await node.start(self._draw_release())
+        for node in self._nodes:
+            await node.wait_listening()
+            await self._start_server(node)
+
+    async def _start_server(self, node: NodeProcess) -> None:
+        self._lives += 1
+        addresses = node.addresses
+        server = StandinServer(
+            f'i-{self._lives}',
+            node.service,
+            ServerAddresses(
+                addresses.server, addresses.control, addresses.callers
+            ),
+            self._ledger,
+            random.Random(self._rng.random()),
+        )
+        await server.start()
+        self._server_by_node[node.name] = server
+
+    def _callers(self) -> list[Coroutine]:
+        callers = []
+        for node in self._nodes:
+            for kind in ('orders', 'views'):
+                caller = Caller(
+                    f'{kind}-{node.name}',
+                    node.name,
+                    node.addresses.callers,
+                    self._ledger,
+                )
+                is_order = kind == 'orders'
+                send = caller.send_orders if is_order else caller.send_pipelined
+                callers.append(send())
+        return callers
+
+    async def _inject_faults(self) -> None:
+        """Start faults at random moments; they overlap."""
+        end_ms = self._clock.now_ms() + self._options.seconds * 1000
+        faults = [self._misbehave, self._stop, self._reload, self._change]
+        faults += [self._replace_server]
+        if self._options.kills:
+            faults += [self._kill, self._pause]
+        async with asyncio.TaskGroup() as group:
+            while self._clock.now_ms() < end_ms:
+                group.create_task(self._rng.choice(faults)())
+                await asyncio.sleep(self._rng.uniform(0.1, 1.2))
+
+    async def _end_faults(self) -> None:
+        for server in self._server_by_node.values():
+            server.misbehaviour = Misbehaviour()
+        await asyncio.sleep(QUIET_S)
+
+    async def _misbehave(self) -> None:
+        server = self._rng.choice(list(self._server_by_node.values()))
+        server.misbehaviour = Misbehaviour.draw(self._rng)
+        await asyncio.sleep(self._rng.uniform(2, 6))
+        server.misbehaviour = Misbehaviour()
+
+    async def _stop(self) -> None:
+        """Stop a node as planned, and start it again."""
+        node = self._rng.choice(self._nodes)
+        if not node.is_up:
+            return
+        node.is_up = False
+        self._ledger.record_stop(node.name)
+        node.send_signal(signal.SIGTERM)
+        await node.wait_end(GRACE_S)
+        await node.start(self._draw_release())
+
+    async def _kill(self) -> None:
+        node = self._rng.choice(self._nodes)
+        if not node.is_up:
+            return
+        node.is_up = False
+        self._ledger.record_fault()
+        node.send_signal(signal.SIGKILL)
+        await node.wait_end(1)
+        await asyncio.sleep(self._rng.uniform(0, 1))
+        await node.start(self._draw_release())
+        self._ledger.record_fault()
+
+    async def _pause(self) -> None:
+        node = self._rng.choice(self._nodes)
+        self._ledger.record_fault()
+        node.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.choice((0.2, 0.6, 1.5, 3.5)))
+        node.send_signal(signal.SIGCONT)
+        self._ledger.record_fault()
+
+    async def _reload(self) -> None:
+        node = self._rng.choice(self._nodes)
+        if node.is_up:
+            node.send_signal(signal.SIGHUP)
+
+    async def _replace_server(self) -> None:
+        """Let a server leave as planned, and start another in its place."""
+        node = self._rng.choice(self._nodes)
+        server = self._server_by_node.pop(node.name, None)
+        if server is None:
+            return
+        await server.leave()
+        await self._start_server(node)
+
+    async def _change(self) -> None:
+        self._publish()
+
+    def _publish(self) -> None:
+        self._version += self._rng.randint(1, 9)
+        self._store.publish(_policy(self._version, self._rng))
+
+    def _draw_release(self) -> pathlib.Path:
+        return self._rng.choice(self._options.releases)
+
+    async def _close(self, callers: list[asyncio.Task]) -> None:
+        for task in callers:
+            task.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        for server in self._server_by_node.values():
+            server.close()
+        for node in self._nodes:
+            with contextlib.suppress(ProcessLookupError):
+                node.send_signal(signal.SIGCONT)
+                node.send_signal(signal.SIGKILL)
+            await node.wait_end(1)
+        self._store.close()
+
+
+def _policy(version: int, rng: random.Random) -> dict:
+    routes = [
+        _route('order', 'desk', 'non_idempotent', rng),
+        _route('view', 'board', 'safe', rng),
+    ]
+    return {
+        'version': f'{version:08x}',
+        'routes': routes,
+        'services': [
+            {'name': name, 'health_path': '/healthz'} for name in _SERVICES
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 1048576,
+            'header_timeout_s': 3,
+            'idle_timeout_s': 15,
+        },
+    }
+
+
+def _route(
+    name: str, service: str, route_type: str, rng: random.Random
+) -> dict:
+    return {
+        'name': name,
+        'host': 'shop.example',
+        'path_prefix': f'/{name}/',
+        'service': service,
+        'route_type': route_type,
+        'timeout_s': rng.choice((2, 5)),
+        'target_latency_s': 1.5,
+        'max_attempts': rng.choice((2, 3)),
+        'priority': 0,
+    }
