--- a/bergamotmount/soak/__main__.py
+++ b/bergamotmount/soak/__main__.py
@@ -23,6 +23,7 @@
             arguments.nodes,
             tuple(arguments.release or (HERE,)),
             not arguments.planned_only,
+            arguments.fixed,
         )
         outcome = asyncio.run(SoakRun(options).play())
         is_broken = is_broken or bool(outcome.breaches)
@@ -62,6 +63,7 @@
         help='checkout that nodes run, several for a mix; default: this one',
     )
     add('--planned-only', action='store_true', help='no kills and pauses')
+    add('--fixed', action='store_true', help='each node keeps its release')
     add('--keep', action='store_true', help='keep the logs of clean runs too')
     return parser
 
--- a/bergamotmount/soak/callers.py
+++ b/bergamotmount/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers of a node: orders one by one, and pipelined idempotent requests."""
 
 import asyncio
+import contextlib
 import itertools
 import random
 
@@ -19,6 +20,11 @@
 RECONNECT_S = 0.05
 MAX_WAIT_S = 0.4
 
+#: Share of the requests that are sent in two parts, and the longest pause
+#: between these.
+SLOW_SHARE = 0.03
+MAX_SLOW_S = 2
+
 #: Requests that a caller sends before it reads the first response.
 PIPELINED = 3
 
@@ -55,28 +61,37 @@
 
     async def send_orders(self) -> None:
         """Send the next order after each answer, for ever."""
-        while True:
-            await self._exchange('POST', 'order', count=1)
-            await asyncio.sleep(THINK_S)
+        with contextlib.closing(self):
+            while True:
+                await self._exchange('POST', 'order', count=1)
+                await asyncio.sleep(THINK_S)
 
     async def send_pipelined(self) -> None:
         """Send several idempotent requests at once, for ever."""
-        while True:
-            count = self._rng.randint(1, PIPELINED)
-            await self._exchange('GET', 'view', count)
-            await asyncio.sleep(THINK_S)
+        with contextlib.closing(self):
+            while True:
+                count = self._rng.randint(1, PIPELINED)
+                await self._exchange('GET', 'view', count)
+                await asyncio.sleep(THINK_S)
+
+    def close(self) -> None:
+        """Close the connection if there is one."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
 
     async def _exchange(self, method: str, route: str, count: int) -> None:
         """Send some requests at once and read their responses in order."""
         if not await self._connect():
             return
-        requests = [self._send(method, route) for _ in range(count)]
+        requests = []
         try:
+            for _ in range(count):
+                requests.append(await self._send(method, route))
             for request in requests:
                 await self._receive(request)
         except EndedError:
-            self._connection.close()
-            self._connection = None
+            self.close()
             self._ledger.record_unanswered(requests)
 
     async def _connect(self) -> bool:
@@ -89,7 +104,7 @@
             return False
         return True
 
-    def _send(self, method: str, route: str) -> str:
+    async def _send(self, method: str, route: str) -> str:
         request = f'{self._name}-{next(self._numbers)}'
         is_idempotent = method == 'GET'
         headers = [
@@ -102,8 +117,13 @@
         ]
         body = b'' if is_idempotent else b'order'
         packed = pack_request(method, f'/{route}/1', headers, body)
+        is_slow = self._rng.random() < SLOW_SHARE
+        end = self._rng.randrange(len(packed)) if is_slow else 0
+        self._connection.send(packed[:end])
+        if is_slow:
+            await asyncio.sleep(self._rng.uniform(0, MAX_SLOW_S))
         self._ledger.record_sent(request, self._node, is_idempotent)
-        self._connection.send(packed)
+        self._connection.send(packed[end:])
         return request
 
     async def _receive(self, request: str) -> None:
--- a/bergamotmount/soak/soakrun.py
+++ b/bergamotmount/soak/soakrun.py
@@ -37,7 +37,9 @@
     """What a run consists of.
 
     Nodes start from one of ``releases``, checkouts of the source; each restart
-    draws one anew. With ``kills`` processes are killed and paused.
+    draws one anew. With ``is_fixed`` each node keeps one instead, in turn, so
+    that the nodes of each service run the same. With ``kills`` processes are
+    killed and paused.
     """
 
     seed: int
@@ -45,6 +47,7 @@
     nodes: int
     releases: tuple[pathlib.Path, ...]
     kills: bool = True
+    is_fixed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,7 +110,7 @@
                 self._folder,
             )
             self._nodes.append(node)
-            await node.start(self._draw_release())
+            await node.start(self._release_of(node))
         for node in self._nodes:
             await node.wait_listening()
             await self._start_server(node)
@@ -174,7 +177,7 @@
         self._ledger.record_stop(node.name)
         node.send_signal(signal.SIGTERM)
         await node.wait_end(GRACE_S)
-        await node.start(self._draw_release())
+        await node.start(self._release_of(node))
 
     async def _kill(self) -> None:
         node = self._rng.choice(self._nodes)
@@ -185,7 +188,7 @@
         node.send_signal(signal.SIGKILL)
         await node.wait_end(1)
         await asyncio.sleep(self._rng.uniform(0, 1))
-        await node.start(self._draw_release())
+        await node.start(self._release_of(node))
         self._ledger.record_fault()
 
     async def _pause(self) -> None:
@@ -217,8 +220,11 @@
         self._version += self._rng.randint(1, 9)
         self._store.publish(_policy(self._version, self._rng))
 
-    def _draw_release(self) -> pathlib.Path:
-        return self._rng.choice(self._options.releases)
+    def _release_of(self, node: NodeProcess) -> pathlib.Path:
+        releases = self._options.releases
+        if self._options.is_fixed:
+            return releases[self._nodes.index(node) % len(releases)]
+        return self._rng.choice(releases)
 
     async def _close(self, callers: list[asyncio.Task]) -> None:
         for task in callers:
@@ -265,6 +271,6 @@
         'route_type': route_type,
         'timeout_s': rng.choice((2, 5)),
         'target_latency_s': 1.5,
-        'max_attempts': rng.choice((2, 3)),
+        'max_attempts': rng.choice((1, 2, 3)),
         'priority': 0,
     }
--- a/bergamotmount/soak/standinserver.py
+++ b/bergamotmount/soak/standinserver.py
@@ -31,13 +31,15 @@
 class Misbehaviour:
     """Shares of the requests with which a server misbehaves.
 
-    It sheds them; writes their answer a second time, late; loses the answer;
-    stops in the middle of its head; answers 503 though it has run them; or
-    writes bytes that are no HTTP. ``slowdown`` multiplies its work time.
+    It sheds them; writes an answer or a refusal a second time, late; loses the
+    answer; stops in the middle of its head; answers 503 though it has run
+    them; or writes bytes that are no HTTP. ``slowdown`` multiplies its work
+    time.
     """
 
     sheds: float = 0
-    repeats: float = 0
+    repeats_answers: float = 0
+    repeats_refusals: float = 0
     loses: float = 0
     truncates: float = 0
     unmarked: float = 0
@@ -55,8 +57,12 @@
         }
         slowdown = rng.choice((1, 1, 1, 8))
         drawn = cls(**shares, slowdown=slowdown)
-        # Sheds come in larger shares than the other faults.
-        return dataclasses.replace(drawn, sheds=drawn.sheds * rng.uniform(1, 8))
+        # Refusals come in larger shares than the other faults.
+        return dataclasses.replace(
+            drawn,
+            sheds=drawn.sheds * rng.uniform(1, 8),
+            repeats_refusals=drawn.repeats_refusals * rng.uniform(1, 8),
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -209,7 +215,8 @@
         request_id = request[_HEADERS.request_id]
         if self._draws('sheds'):
             headers = [_HEADERS.request_id, request_id, _HEADERS.not_run, '1']
-            self._write(pack_response(_SHED, headers, b'', closes=False))
+            refusal = pack_response(_SHED, headers, b'', closes=False)
+            self._write(refusal, 'repeats_refusals')
             return
         async with server.free_slots:
             server.ledger.record_run(request_id, server.instance)
@@ -237,11 +244,11 @@
         elif self._draws('garbles'):
             self.transport.write(b'\x00 no response\r\n\r\n')
         else:
-            self._write(packed)
+            self._write(packed, 'repeats_answers')
 
-    def _write(self, packed: bytes) -> None:
+    def _write(self, packed: bytes, repeats: str) -> None:
         self.transport.write(packed)
-        if self._draws('repeats'):
+        if self._draws(repeats):
             self._held = packed
 
     def _draws(self, fault: str) -> bool:
