Put a server in use after a restart only on evidence newer than its departure

A departure that came before any announcement wasn't recorded, and a late departure of an earlier process of an instance took the present one for departed for good.

Change: for ten seconds after a restart, as long as an announcement from before it may be on the way, a server gets requests only once it says itself, asked by the node, that it serves. One that is too full to answer the check is asked again every 200 ms. A departure stated by instance alone holds for that time; if the server still announces itself then and confirms that it serves, it is used again. What a process said of itself (draining, leaving) holds for good.

Replaced test: test_failing_check_delays_to_the_next_announcement asked that the second announcement be believed whatever the check says, which is the fault. In its place: the second and third aren't believed, and one whose check fails is used once no late announcement can come. Servers of the fixture answer checks.

--- a/bergamotmount/forwarding/healthcheck.py
+++ b/bergamotmount/forwarding/healthcheck.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bergamotmount.clock import Clock
+from bergamotmount.forwarding.headers import HeaderNames
 from bergamotmount.forwarding.http import header_of, pack_request
 from bergamotmount.forwarding.httpclient import (
     NotConnectedError,
@@ -42,12 +43,12 @@
     """
 
     def __init__(
-        self, clock: Clock, pool_factory: PoolFactory, instance_header: str
+        self, clock: Clock, pool_factory: PoolFactory, header_names: HeaderNames
     ) -> None:
-        """Read the server's instance from ``instance_header``."""
+        """Read the server's instance from its header."""
         self._clock = clock
         self._pool_factory = pool_factory
-        self._instance_header = instance_header
+        self._header_names = header_names
 
     async def check(self, address: str, path: str) -> Health | None:
         """Return the server's health, ``None`` if it doesn't tell."""
@@ -63,7 +64,11 @@
             )
             return None
         connection.close()
-        instance = header_of(response.headers, self._instance_header)
-        if response.status not in {_OK, _UNAVAILABLE} or instance is None:
+        names = self._header_names
+        instance = header_of(response.headers, names.instance)
+        # A server without a free slot rejects checks like requests.
+        is_shed = header_of(response.headers, names.not_run) is not None
+        is_known = response.status in {_OK, _UNAVAILABLE} and not is_shed
+        if instance is None or not is_known:
             return None
         return Health(instance, response.status == _OK)
--- a/bergamotmount/forwarding/localserver.py
+++ b/bergamotmount/forwarding/localserver.py
@@ -10,6 +10,7 @@
 from bergamotmount.admission import Admission
 from bergamotmount.clock import Clock
 from bergamotmount.forwarding.announcements import (
+    MAX_ANNOUNCEMENT_DELAY_MS,
     Announcement,
     AnnouncementEffect,
     AnnouncementOrder,
@@ -22,6 +23,9 @@
 from bergamotmount.membership import Members
 from bergamotmount.reasons import RefusalReason
 
+#: Interval at which a server that doesn't tell its health is asked again.
+RECHECK_INTERVAL_MS = 200
+
 _log = part_logger('server')
 
 
@@ -38,19 +42,23 @@
         lease_ms: float,
         members: Members,
         disseminate: Callable[[Member], None],
+        check_health: HealthCheck,
     ) -> None:
         """Start without a server; pass member updates to ``disseminate``.
 
         A server that isn't announced for ``lease_ms`` counts as absent.
+        ``check_health`` asks one whose announcement is no evidence.
         """
         self.lifecycle = ServerLifecycle(clock, self._on_state)
         self._clock = clock
         self._lease_ms = lease_ms
         self._members = members
         self._disseminate = disseminate
-        self._announcement_order = AnnouncementOrder()
+        self._announcement_order = AnnouncementOrder(clock)
         self._warm_until_ms: float = 0
-        self._check_health: HealthCheck | None = None
+        self._check_health = check_health
+        self._confirm_until_ms: float = 0
+        self._confirmed: tuple[str, int] | None = None
         self._confirming: asyncio.Task | None = None
 
     def attach(self, gateway: Gateway, admission: Admission) -> None:
@@ -58,13 +66,17 @@
         self._gateway = gateway
         self._admission = admission
 
-    def confirm_first_with(self, check_health: HealthCheck) -> None:
-        """Check the health of the first server before it gets requests.
+    def require_confirmation(self) -> None:
+        """Check the health of servers before they get requests.
 
-        A node that was restarted doesn't know that the server had announced
-        its departure, and a delayed announcement may be the first it receives.
+        A node that was restarted doesn't know that a server had announced its
+        departure, and what it receives first may be delayed announcements from
+        before. Only the server's own answer to a check is newer, until no such
+        announcement can be on the way any more.
         """
-        self._check_health = check_health
+        self._confirm_until_ms = (
+            self._clock.now_ms() + MAX_ANNOUNCEMENT_DELAY_MS
+        )
 
     def announce(self, announcement: Announcement) -> AnnouncementEffect:
         """Apply an announcement and return its effect."""
@@ -72,16 +84,17 @@
         match effect:
             case AnnouncementEffect.DRAINING:
                 self.lifecycle.drain()
-            case AnnouncementEffect.STARTED if self._check_health is not None:
-                self._confirming = asyncio.create_task(
-                    self._confirm(announcement, self._check_health)
-                )
-                self._check_health = None
+            case AnnouncementEffect.RETURNED:
+                self._start_confirming(announcement)
+            case AnnouncementEffect.STARTED | AnnouncementEffect.RENEWED if (
+                self._must_confirm(announcement)
+            ):
+                self._start_confirming(announcement)
             case AnnouncementEffect.STARTED:
                 self._register(announcement)
             case AnnouncementEffect.RENEWED:
                 self._renew(announcement)
-        if effect in {AnnouncementEffect.DRAINING, AnnouncementEffect.STARTED}:
+        if effect not in {AnnouncementEffect.STALE, AnnouncementEffect.RENEWED}:
             _log.info(
                 'Server {} of service {}: {}, born {}, sequence {}.',
                 announcement.instance,
@@ -93,11 +106,18 @@
         return effect
 
     def depart(self, instance: str) -> None:
-        """Drain the server if the process that departs is the current one.
+        """Drain the server if the instance that departs is the current one.
 
-        It departs with an announcement, or by saying so in a response.
+        The departure may be late, and of an earlier process.
         """
-        if self._announcement_order.mark_departed(instance):
+        is_current = self._announcement_order.mark_departed(instance)
+        _log.info('Departure of {}: current {}.', instance, is_current)
+        if is_current:
+            self.lifecycle.drain()
+
+    def leave(self, instance: str) -> None:
+        """Drain the server, which said in a response that it is leaving."""
+        if self._announcement_order.mark_left(instance):
             _log.info('Server {} is leaving.', instance)
             self.lifecycle.drain()
 
@@ -109,20 +129,36 @@
             self.lifecycle.end_warmup()
         self._admission.admit_waiting()
 
-    async def _confirm(
-        self, announcement: Announcement, check_health: HealthCheck
-    ) -> None:
-        """Register a server that is healthy; else await its next announcement.
+    def _must_confirm(self, announcement: Announcement) -> bool:
+        is_confirmed = announcement.process == self._confirmed
+        return (
+            not is_confirmed and self._clock.now_ms() < self._confirm_until_ms
+        )
+
+    def _start_confirming(self, announcement: Announcement) -> None:
+        if self._confirming is not None:
+            self._confirming.cancel()
+        self._confirming = asyncio.create_task(self._confirm(announcement))
+
+    async def _confirm(self, announcement: Announcement) -> None:
+        """Register a server that says it serves.
 
-        Only a delayed announcement has none after it.
+        One that doesn't tell is asked again until its lease would end; one
+        that says it doesn't serve, after its next announcement.
         """
-        health = await check_health(announcement)
+        end_ms = self._clock.now_ms() + self._lease_ms
+        health = await self._check_health(announcement)
+        while health is None and self._clock.now_ms() < end_ms:
+            await self._clock.sleep(RECHECK_INTERVAL_MS)
+            health = await self._check_health(announcement)
         order = self._announcement_order
         if order.current is not announcement or order.has_departed(
             announcement
         ):
             return
         if health == Health(announcement.instance, is_serving=True):
+            self._confirmed = announcement.process
+            order.confirm(announcement)
             self._register(announcement)
         else:
             _log.info('Server {} is not confirmed.', announcement.instance)
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -144,19 +144,20 @@
         self._crash_publisher = CrashPublisher(
             clock, ports.store, self.quarantine.poison_requests, rng
         )
+        self._health_checker = HealthChecker(
+            clock, ports.pool_factory, options.header_names
+        )
         self.local_server = LocalServer(
             clock,
             options.lease_ms,
             self.members,
             self.heartbeats.disseminate,
+            self._check_health,
         )
         self._build_roles()
         self.local_server.attach(self.gateway, self.admission)
         if not options.is_first_start:
-            self._health_checker = HealthChecker(
-                clock, ports.pool_factory, options.header_names.instance
-            )
-            self.local_server.confirm_first_with(self._check_health)
+            self.local_server.require_confirmation()
         self._export_values()
         self.is_stopping = False
         self._tasks: list[asyncio.Task] = []
@@ -305,7 +306,7 @@
                 self.active_requests,
                 self.threshold_view,
                 self._downstream_services_of,
-                self.local_server.depart,
+                self.local_server.leave,
                 self.quarantine,
                 lambda: self.policy_source.evidence,
             ),
--- a/bergamotmount/tests/forwardingfixture.py
+++ b/bergamotmount/tests/forwardingfixture.py
@@ -46,6 +46,9 @@
 
 HEADER_NAMES = HeaderNames()
 
+#: Path of the health checks in the policy of tests.
+HEALTH_PATH = '/'
+
 
 #: Behaviour of a fake server: returns the response to a request, or raises.
 Behaviour = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -102,10 +105,15 @@
 class FakeHttpServer:
     """HTTP backend server of a forwarding node; answers after ``service_ms``.
 
-    Tests replace ``behaviour`` to make it shed, hang or lose answers.
+    Tests replace ``behaviour`` to make it shed, hang or lose answers. Its
+    health checks are answered with ``health_status``, and counted.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, instance: str) -> None:
+        self.instance = instance
+        self.health_status = 200
+        self.is_full = False
+        self.checks = 0
         self.service_ms: float = 20
         self.is_listening = True
         self.active_requests = 0
@@ -117,6 +125,9 @@
         self._ended = asyncio.Event()
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
+        if request.path == HEALTH_PATH:
+            self.checks += 1
+            return self.answer_check()
         self.received.append(request)
         self.active_requests += 1
         self.max_active_requests = max(
@@ -159,6 +170,12 @@
             raise BrokenExchangeError('connection closed', False, False)
         return serving.result()
 
+    def answer_check(self) -> HttpResponse:
+        headers = [(HEADER_NAMES.instance, self.instance)]
+        if self.is_full:
+            headers.append((HEADER_NAMES.not_run, '1'))
+        return HttpResponse(self.health_status, headers)
+
     async def answer(self, request: HttpRequest) -> HttpResponse:
         await asyncio.sleep(self.service_ms / MS_PER_SECOND)
         return make_response(request)
@@ -185,7 +202,7 @@
         self.service = service
         self.domain = f'fd-{name[-1]}'
         self.clock = FakeClock()
-        self.server = FakeHttpServer()
+        self.server = FakeHttpServer(f'i-{name}')
         self.counters = RecordingCounters()
         self.store = FakeStoreView(fixture.store)
         self.is_alive = False
--- a/bergamotmount/tests/test_announcements.py
+++ b/bergamotmount/tests/test_announcements.py
@@ -7,6 +7,7 @@
     AnnouncementEffect,
     AnnouncementOrder,
 )
+from bergamotmount.clock import LoopClock
 
 
 def announcement(
@@ -32,7 +33,8 @@
     """
 
     def setUp(self) -> None:
-        self.order = AnnouncementOrder()
+        self.clock = LoopClock()
+        self.order = AnnouncementOrder(self.clock)
 
     def apply(self, *announcements: Announcement) -> list[AnnouncementEffect]:
         """Apply announcements in turn and return their effects."""
--- a/bergamotmount/tests/test_restart.py
+++ b/bergamotmount/tests/test_restart.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from bergamotmount.forwarding.http import HttpRequest, HttpResponse
+from bergamotmount.clock import MS_PER_SECOND
+from bergamotmount.forwarding.announcements import MAX_ANNOUNCEMENT_DELAY_MS
 from bergamotmount.lifecycle import ServerState
 from bergamotmount.tests.forwardingfixture import (
-    HEADER_NAMES,
     ForwardingHost,
     make_forwarding_fixture,
 )
@@ -26,22 +26,11 @@
         host = self.fixture.host_by_name['a1']
         host.is_renewing = False
         host.kill()
-        host.server.behaviour = self.answer_with_health(host, health_status)
+        host.server.health_status = health_status
         host.start()
         await asyncio.sleep(settle_s)
         return host
 
-    def answer_with_health(self, host: ForwardingHost, status: int):
-        """Return a behaviour that answers checks with a status."""
-
-        async def answer(request: HttpRequest) -> HttpResponse:
-            if request.path != '/':
-                return await host.server.answer(request)
-            header = HEADER_NAMES.instance, f'i-{host.name}'
-            return HttpResponse(status, [header], b'')
-
-        return answer
-
     async def test_server_that_had_left(self):
         """A delayed announcement could put a leaving server in use again."""
         host = await self.restart(503)
@@ -84,21 +73,72 @@
         self.assertTrue(host.node.local_server.lifecycle.is_accepting)
         self.fixture.close()
 
-    async def test_failing_check_delays_to_the_next_announcement(self):
-        """A full or failing server could stay unused for good."""
+    async def test_second_late_announcement_of_a_server_that_had_left(self):
+        """Only the first one was checked; the second put it in use again."""
+        host = await self.restart(503)
+        for sequence in (3, 4, 5):
+            host.announce(sequence=sequence)
+            await asyncio.sleep(1.5)
+            self.assertFalse(host.node.local_server.lifecycle.is_accepting)
+        self.fixture.close()
+
+    async def test_failing_check_ends_with_the_last_late_announcement(self):
+        """A server whose check fails could stay unused for good."""
         host = await self.restart(503)
         host.announce(sequence=3)
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(MAX_ANNOUNCEMENT_DELAY_MS / MS_PER_SECOND)
         host.announce(sequence=4)
         self.assertTrue(host.node.local_server.lifecycle.is_accepting)
         self.fixture.close()
 
+    async def test_full_server_is_asked_again(self):
+        """A server without a free slot for the check waited for seconds."""
+        host = await self.restart(503)
+        host.server.is_full = True
+        host.announce(sequence=3)
+        await asyncio.sleep(0.5)
+        self.assertFalse(host.node.local_server.lifecycle.is_accepting)
+        host.server.is_full = False
+        host.server.health_status = 200
+        await asyncio.sleep(0.3)
+        self.assertTrue(host.node.local_server.lifecycle.is_accepting)
+        self.fixture.close()
+
+    async def test_departure_before_any_announcement(self):
+        """It wasn't recorded, and a late announcement undid it."""
+        host = await self.restart(503, settle_s=11)
+        host.node.local_server.depart('i-a1')
+        host.announce(sequence=3)
+        await asyncio.sleep(1)
+        self.assertFalse(host.node.local_server.lifecycle.is_accepting)
+        self.fixture.close()
+
+    async def test_late_departure_of_an_earlier_process(self):
+        """The present process of the instance got no request ever again."""
+        self.fixture = await make_forwarding_fixture()
+        host = self.fixture.host_by_name['a1']
+        host.node.local_server.depart('i-a1')
+        await asyncio.sleep(9)
+        self.assertFalse(host.node.local_server.lifecycle.is_accepting)
+        await asyncio.sleep(3)
+        self.assertTrue(host.node.local_server.lifecycle.is_accepting)
+        self.fixture.close()
+
+    async def test_departed_server_that_still_announces_itself(self):
+        """Its check says that it leaves; it must not get requests again."""
+        self.fixture = await make_forwarding_fixture()
+        host = self.fixture.host_by_name['a1']
+        host.server.health_status = 503
+        host.node.local_server.depart('i-a1')
+        await asyncio.sleep(20)
+        self.assertFalse(host.node.local_server.lifecycle.is_accepting)
+        self.fixture.close()
+
     async def test_first_start_of_all_needs_no_check(self):
         """No server can have left before its node started first."""
         fixture = await make_forwarding_fixture()
         for host in fixture.host_by_name.values():
-            checks = [each for each in host.server.received if each.path == '/']
-            self.assertEqual(checks, [])
+            self.assertEqual(host.server.checks, 0)
         fixture.close()
 
 
