Choose ports that no other socket takes; report a process that ends at its start

make demo failed to start in 2 of 11 runs (address already in use, then 40 s and a traceback). Cause, read in the code and not traced: free_addresses let the system choose ports from the range of outgoing connections, closed them, and chose anew for each node, so a connection or a later call could take one before its process bound it.

Waiting for nodes checks their processes and raises an error with the end of the log. Logs of started processes go to files.

Ten demos in a row are still to be run.

--- a/bergamotmount/soak/deployment.py
+++ b/bergamotmount/soak/deployment.py
@@ -4,16 +4,13 @@
 import dataclasses
 import os
 import pathlib
-import random
 import signal
-import socket
 import sys
 
-#: Range of ports below those of outgoing connections.
-PORTS = range(12_000, 30_000)
+from bergamotmount.tools.ports import PortAllocator
 
-#: Ports of a node, and those that nodes use among each other.
-PORTS_PER_NODE = 5
+#: Addresses of a node, and the ports that nodes use among each other.
+ADDRESSES_PER_NODE = 5
 PEER_PORTS = 8
 
 READY_TIMEOUT_S = 20
@@ -30,32 +27,7 @@
     ready: str
     control: str
     inbound: str
-    first_peer_port: int
-
-
-class PortRange:
-    """Hands out ports in a row that are free now, each once."""
-
-    def __init__(self, host: str, rng: random.Random) -> None:
-        """Start at a random port of the range."""
-        self._host = host
-        self._next = rng.randrange(PORTS.start, PORTS.stop // 2)
-
-    def take(self, count: int) -> int:
-        """Return the first of ``count`` free ports."""
-        while True:
-            first = self._next
-            self._next += count
-            if all(map(self._is_free, range(first, first + count))):
-                return first
-
-    def _is_free(self, port: int) -> bool:
-        with socket.socket() as probe:
-            try:
-                probe.bind((self._host, port))
-            except OSError:
-                return False
-        return True
+    peer_ports: list[int]
 
 
 class NodeProcess:
@@ -68,18 +40,17 @@
         self,
         name: str,
         service: str,
-        ports: PortRange,
+        ports: PortAllocator,
         host: str,
         store_address: str,
         folder: pathlib.Path,
     ) -> None:
         """Choose addresses; no process runs before :meth:`start`."""
-        first = ports.take(PORTS_PER_NODE + PEER_PORTS)
         self.name = name
         self.service = service
         self.addresses = NodeAddresses(
-            *(f'{host}:{first + place}' for place in range(PORTS_PER_NODE)),
-            first + PORTS_PER_NODE,
+            *(f'{host}:{ports.take()}' for _ in range(ADDRESSES_PER_NODE)),
+            [ports.take() for _ in range(PEER_PORTS)],
         )
         self.is_up = False
         self._host = host
@@ -176,8 +147,7 @@
 
     def _network_settings(self) -> list[str]:
         addresses = self.addresses
-        first_port = addresses.first_peer_port
-        last_port = first_port + PEER_PORTS - 1
+        first_port, *_, last_port = addresses.peer_ports
         zones = [f'network.zones.{each}=region' for each in DOMAINS]
         return [
             *zones,
--- a/bergamotmount/soak/soakrun.py
+++ b/bergamotmount/soak/soakrun.py
@@ -11,7 +11,7 @@
 
 from bergamotmount.clock import Clock
 from bergamotmount.soak.callers import Caller
-from bergamotmount.soak.deployment import NodeProcess, PortRange
+from bergamotmount.soak.deployment import NodeProcess
 from bergamotmount.soak.ledger import Breach, Ledger
 from bergamotmount.soak.standinserver import (
     Misbehaviour,
@@ -19,6 +19,7 @@
     StandinServer,
 )
 from bergamotmount.soak.standinstore import StandinStore
+from bergamotmount.tools.ports import PortAllocator
 
 #: Time for the nodes to find each other before callers come.
 SETTLE_S = 4
@@ -74,7 +75,7 @@
         self._host = (
             f'127.{host_rng.randrange(1, 64)}.{host_rng.randrange(256)}.1'
         )
-        self._ports = PortRange(self._host, self._rng)
+        self._ports = PortAllocator(self._host)
         self._store = StandinStore(self._clock)
         self._nodes: list[NodeProcess] = []
         self._server_by_node: dict[str, StandinServer] = {}
@@ -97,7 +98,7 @@
         )
 
     async def _start(self) -> None:
-        store_address = f'{self._host}:{self._ports.take(1)}'
+        store_address = f'{self._host}:{self._ports.take()}'
         await self._store.start(store_address)
         self._publish()
         for number in range(self._options.nodes):
--- a/bergamotmount/tools/bench_config.py
+++ b/bergamotmount/tools/bench_config.py
@@ -19,7 +19,8 @@
 from bergamotmount.adapters.log import HttpLog
 from bergamotmount.tools.deployments import ADOMAKO
 from bergamotmount.tools.fleet import Fleet
-from bergamotmount.tools.process import free_addresses, run_interruptibly
+from bergamotmount.tools.ports import free_addresses
+from bergamotmount.tools.process import run_interruptibly
 from bergamotmount.tools.publish import publish_deployment
 
 #: Number of records that are published in each part.
--- a/bergamotmount/tools/bench_latency.py
+++ b/bergamotmount/tools/bench_latency.py
@@ -25,7 +25,8 @@
     ServiceSize,
 )
 from bergamotmount.tools.fleet import Fleet
-from bergamotmount.tools.process import free_addresses, run_interruptibly
+from bergamotmount.tools.ports import free_addresses
+from bergamotmount.tools.process import run_interruptibly
 from bergamotmount.tools.publish import publish_deployment
 
 PATHS = ('direct', 'through', 'bare')
--- a/bergamotmount/tools/fleet.py
+++ b/bergamotmount/tools/fleet.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import os
+import pathlib
 import signal
 import sys
 import tempfile
@@ -21,7 +22,7 @@
     Deployment,
     ServiceSize,
 )
-from bergamotmount.tools.process import free_addresses
+from bergamotmount.tools.ports import free_addresses
 
 #: Maximum time until all processes are ready, in seconds.
 READY_TIMEOUT_S = 40
@@ -48,6 +49,23 @@
     size: ServiceSize
 
 
+#: Lines of the log of a process that ended unexpectedly that are shown.
+LOG_LINES_SHOWN = 5
+
+
+class ProcessEndedError(Exception):
+    """A process has ended that should run.
+
+    The message holds its name, its exit code and the end of its log.
+    """
+
+    def __init__(self, name: str, exit_code: int, log: str) -> None:
+        """Describe the end of a process."""
+        lines = log.splitlines()[-LOG_LINES_SHOWN:] or ['nothing logged']
+        end = '\n'.join(lines)
+        super().__init__(f'{name} ended with {exit_code}:\n{end}')
+
+
 class Fleet:
     """Processes of one deployment: log, nodes and backend servers."""
 
@@ -126,6 +144,7 @@
         async with asyncio.timeout(READY_TIMEOUT_S):
             async with aiohttp.ClientSession() as session:
                 while not await self._all_ready(session):
+                    self._check_processes()
                     await asyncio.sleep(_POLL_INTERVAL_S)
 
     async def wait_up(self) -> None:
@@ -134,6 +153,7 @@
             async with aiohttp.ClientSession() as session:
                 for node in self.node_by_name.values():
                     while await fetch_status(session, node) is None:
+                        self._check_processes()
                         await asyncio.sleep(_POLL_INTERVAL_S)
 
     def override(self, settings: dict[str, dict[str, str]]) -> None:
@@ -277,13 +297,25 @@
         return path
 
     async def _start(self, name: str, module: str, *arguments: str) -> None:
-        self._process_by_name[name] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            module,
-            *arguments,
-            start_new_session=True,
-        )
+        with self._log_path(name).open('ab') as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                module,
+                *arguments,
+                start_new_session=True,
+                stderr=log,
+            )
+        self._process_by_name[name] = process
+
+    def _log_path(self, name: str) -> pathlib.Path:
+        return pathlib.Path(self._directory.name) / f'{name}.log'
+
+    def _check_processes(self) -> None:
+        for name, process in self._process_by_name.items():
+            if process.returncode is not None:
+                log = self._log_path(name).read_text(errors='replace')
+                raise ProcessEndedError(name, process.returncode, log)
 
     async def _stop_processes(self, names: Iterable[str]) -> None:
         processes = [self._process_by_name[name] for name in names]
--- a/bergamotmount/tools/process.py
+++ b/bergamotmount/tools/process.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import signal
-import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import TypeVar
 
@@ -51,16 +50,3 @@
     await runner.setup()
     await web.TCPSite(runner, host, int(port), backlog=1024).start()
     return runner.cleanup
-
-
-def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses with currently unused ports."""
-    sockets = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(('127.0.0.1', 0))
-        sockets.append(probe)
-    addresses = [f'127.0.0.1:{each.getsockname()[1]}' for each in sockets]
-    for probe in sockets:
-        probe.close()
-    return addresses
