End an order that waits for a connection when its caller leaves

An order whose caller had left reached its server up to a second later (GONE): once admitted it went on by itself, also while its connection was being opened.

Change: it goes on without its caller only once it has been sent; before that it ends, and its place at the server is free.

Evidence: the new test counted one order at the server before (expected 0); 27 tests of the module pass.

--- a/bergamotmount/forwarding/activerequests.py
+++ b/bergamotmount/forwarding/activerequests.py
@@ -57,7 +57,8 @@
     ``request_id`` identifies it in logs. ``entry_threshold`` is the rank up to
     which the entry admitted requests when it admitted the root request.
     ``is_repeat`` tells that this run counts as a retry, with the calls that it
-    makes. ``calls_made`` counts the calls that the request has made,
+    makes. ``is_sent`` tells whether the server may have received it.
+    ``calls_made`` counts the calls that the request has made,
     ``pending_calls`` those without an answer. ``last_answer_ms`` is the time
     of the last answer.
     """
@@ -68,6 +69,7 @@
     request_id: str = ''
     entry_threshold: float = ADMIT_ALL_RANK
     is_repeat: bool = False
+    is_sent: bool = False
     started_ms: float = 0
     calls_made: int = 0
     pending_calls: int = 0
--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -135,8 +135,8 @@
         """Run a call and return the answer.
 
         Cancellation closes the connection of an idempotent request, so the
-        server can stop working on it. A non-idempotent request that was
-        admitted goes on without its caller.
+        server can stop working on it. A non-idempotent request that was sent
+        goes on without its caller.
         """
         deadline_ms = self._clock.now_ms() + call.remaining_ms
         outcome = await self._run_call(call, deadline_ms)
@@ -166,15 +166,6 @@
             )
         if refusal is not None:
             return self._not_run(refusal)
-        if call.idempotent:
-            return await self._send_admitted(call, deadline_ms)
-        sending = asyncio.create_task(self._send_admitted(call, deadline_ms))
-        self._detached_tasks.add(sending)
-        sending.add_done_callback(self._detached_tasks.discard)
-        return await asyncio.shield(sending)
-
-    async def _send_admitted(self, call: Call, deadline_ms: float) -> Outcome:
-        admission = self._deps.admission
         active = ActiveRequest(
             call.operation,
             call.rank,
@@ -183,6 +174,22 @@
             call.entry_threshold,
             call.is_repeat,
         )
+        if call.idempotent:
+            return await self._send_admitted(call, active)
+        sending = asyncio.create_task(self._send_admitted(call, active))
+        self._detached_tasks.add(sending)
+        sending.add_done_callback(self._detached_tasks.discard)
+        try:
+            return await asyncio.shield(sending)
+        except asyncio.CancelledError:
+            if not active.is_sent:
+                sending.cancel()
+            raise
+
+    async def _send_admitted(
+        self, call: Call, active: ActiveRequest
+    ) -> Outcome:
+        admission = self._deps.admission
         started_ms = self._clock.now_ms()
         # A server that sheds below its limit is faulty rather than overloaded.
         was_full = admission.in_flight >= admission.limit.current()
@@ -212,12 +219,16 @@
             refusal = self._refusal_to_send(call, active.deadline_ms, process)
             if refusal is not None:
                 return refusal
-            self._deps.active_requests.add(active)
-            self._counters.admitted(call.service)
+            self._record_sent(call, active)
             return await self._exchange(connection, call, active)
         finally:
             pool.release(connection)
 
+    def _record_sent(self, call: Call, active: ActiveRequest) -> None:
+        active.is_sent = True
+        self._deps.active_requests.add(active)
+        self._counters.admitted(call.service)
+
     async def _exchange(
         self, connection, call: Call, active: ActiveRequest
     ) -> Outcome:
--- a/bergamotmount/tests/test_forwarding.py
+++ b/bergamotmount/tests/test_forwarding.py
@@ -10,6 +10,8 @@
 from bergamotmount.tests.faketransport import FakeTransport
 from bergamotmount.tests.forwardingfixture import (
     HEADER_NAMES,
+    FakeConnection,
+    FakePool,
     default_routes,
     make_forwarding_fixture,
     make_response,
@@ -18,6 +20,14 @@
 from bergamotmount.tests.virtualtime import VirtualTestCase
 
 
+class SlowPool(FakePool):
+    """Pool that takes nearly a second to open a connection."""
+
+    async def acquire(self, request_id='', is_fresh=False) -> FakeConnection:
+        await asyncio.sleep(0.9)
+        return await super().acquire(request_id, is_fresh)
+
+
 class RequestTest(VirtualTestCase):
     """A request reaches one server, with the headers that the nodes set."""
 
@@ -181,6 +191,21 @@
         self.assertEqual(server.cancelled_ids, [])
         fixture.close()
 
+    async def test_order_that_waits_for_a_connection_ends_with_its_caller(self):
+        """It reached the server up to a second after its caller had left."""
+        fixture = await make_forwarding_fixture(
+            pool_factory=lambda _clock, server: SlowPool(server)
+        )
+        host = fixture.host_by_name['b1']
+        sending = asyncio.create_task(host.send('/buy/1', method='POST'))
+        await asyncio.sleep(0.1)
+        sending.cancel()
+        await asyncio.sleep(2)
+        self.assertEqual(fixture.received_counts().total(), 0)
+        for host in fixture.host_by_name.values():
+            self.assertEqual(host.node.admission.in_flight, 0)
+        fixture.close()
+
     async def test_success_without_signature_is_unknown(self):
         """An answer that the server didn't produce could pass as a success."""
         fixture = await make_forwarding_fixture()
