Reject numbers in entries and announcements that no message can carry

An incarnation of over 64 bits in the store raised OverflowError where it was sent on to other nodes, in PeerServer also out of the task of a connection, which ended with the calls on it. Same for the key of a crash record, and for slots of a server beyond 32 bits. They are rejected where they come in, with a clear error.

--- a/bergamotmount/platform/control.py
+++ b/bergamotmount/platform/control.py
@@ -12,6 +12,9 @@
 from bergamotmount.log import part_logger
 from bergamotmount.platform import names
 
+#: Upper bound of the slots of a server, well within a message's field.
+MAX_SLOTS = 1_000_000
+
 _MS_PER_SECOND = 1000
 _OK = 200
 _BAD_REQUEST = 400
@@ -103,8 +106,9 @@
             return f'unknown state {announced.status.state!r}'
         if announced.address != self._server_address:
             return f'unexpected address {announced.address!r}'
-        if announced.server_info.slots < 1:
-            return f'{announced.server_info.slots} slots, at least 1 required'
+        slots = announced.server_info.slots
+        if not 1 <= slots <= MAX_SLOTS:
+            return f'{slots} slots, expected 1 to {MAX_SLOTS}'
         table = self._node.policy_source.table
         services = None if table is None else table.policy.service_by_name
         if (
--- a/bergamotmount/platform/crashrecord.py
+++ b/bergamotmount/platform/crashrecord.py
@@ -2,7 +2,10 @@
 
 import msgspec
 
-from bergamotmount.platform.memberrecord import EntryError
+from bergamotmount.platform.memberrecord import (
+    MAX_WIRE_INTEGER,
+    EntryError,
+)
 from bergamotmount.reports import CrashReport
 
 #: Prefix of the keys of crashes. Names of nodes don't contain a slash.
@@ -38,4 +41,6 @@
         servers = _decoder.decode(packed)
     except (ValueError, msgspec.MsgspecError) as error:
         raise EntryError(str(error)) from error
+    if not 0 <= fingerprint <= MAX_WIRE_INTEGER:
+        raise EntryError(f'{key!r} is not the key of a fingerprint')
     return [CrashReport(fingerprint, server) for server in servers if server]
--- a/bergamotmount/platform/memberrecord.py
+++ b/bergamotmount/platform/memberrecord.py
@@ -16,6 +16,9 @@
     incarnation: int
 
 
+#: Largest number that messages between nodes can carry.
+MAX_WIRE_INTEGER = 2**63 - 1
+
 _decoder = msgspec.json.Decoder(_WireMember)
 
 
@@ -43,6 +46,8 @@
     host, _, port = wire.address.rpartition(':')
     if not host or not port.isdecimal():
         raise EntryError(f'{wire.address!r} is not an address')
+    if abs(wire.incarnation) > MAX_WIRE_INTEGER:
+        raise EntryError(f'incarnation {wire.incarnation} is too large')
     return Member(
         node,
         wire.address,
--- a/bergamotmount/tests/test_platform.py
+++ b/bergamotmount/tests/test_platform.py
@@ -31,7 +31,12 @@
 from bergamotmount.organisations.quotaowner import QuotaOptions
 from bergamotmount.platform import names
 from bergamotmount.platform.control import ControlServer
-from bergamotmount.platform.crashrecord import crashes_key, pack_servers
+from bergamotmount.platform.crashrecord import (
+    crashes_key,
+    pack_servers,
+    parse_crashes,
+)
+from bergamotmount.platform.memberrecord import EntryError, parse_member
 from bergamotmount.platform.policyrecord import parse_record
 from bergamotmount.platform.settings import (
     changed_fields,
@@ -325,6 +330,7 @@
             {'address': 7},
             {'info': {'service': 'a', 'slots': 0}},
             {'info': {'slots': 4}},
+            {'info': {'service': 'a', 'slots': 2**31}},
             {'born': 'yesterday'},
             {'status': {'state': 'asleep', 'sequence': 5}},
             {'status': {'state': 'ready', 'sequence': 'x'}},
@@ -470,6 +476,16 @@
             self.requests[0].body, len(packed).to_bytes(4) + packed
         )
 
+    def test_numbers_that_no_message_carries_are_rejected(self):
+        """Sending them on raised an error that ended all calls of a link."""
+        for incarnation in (2**63, -(2**64), 2**80):
+            packed = f'["10.0.0.1:7620","r","fd-1",{incarnation}]'
+            with self.assertRaises(EntryError):
+                parse_member('n-1', packed.encode())
+        for fingerprint in ('8000000000000000', 'ffffffffffffffffff', '-1'):
+            with self.assertRaises(EntryError):
+                parse_crashes(f'crashes/{fingerprint}', b'["s"]')
+
     async def test_unreachable_store_raises_log_error(self):
         store = PlatformStore(Clock(), '127.0.0.1:1')
         with self.assertRaises(LogError):
