Never wait for the reader of the log

A node whose standard output nobody read stopped for good once the pipe was full (seen once by the review): the handler wrote on the event loop and blocked.

Change: a line is written only while the output is ready for it, in parts that a pipe takes whole; up to 256 KB wait, the rest is left out, counted in a metric and in a line once the output is read again. Neither the loop nor the exit waits.

Ruled out: a thread for writing (wakes up for each line, and its exit would have to wait); O_NONBLOCK on the descriptor (it is shared with other processes).

--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -25,7 +25,7 @@
 )
 from bergamotmount.forwarding.retrybudget import RetryBudgetOptions
 from bergamotmount.incarnation import new_incarnation
-from bergamotmount.log import part_logger, start_logging
+from bergamotmount.log import PendingLines, part_logger, start_logging
 from bergamotmount.member import Member
 from bergamotmount.organisations.freshness import lease_for
 from bergamotmount.platform.control import ControlServer
@@ -72,11 +72,12 @@
     except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         sys.exit(EXIT_SETTINGS)
-    start_logging('info', 'json', sys.stdout)
+    log = start_logging('info', 'json', sys.stdout)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     try:
-        uvloop.run(PlatformDaemon(settings, arguments.config).run())
+        daemon = PlatformDaemon(settings, arguments.config, log.lines)
+        uvloop.run(daemon.run())
     except OSError as error:
         _log.error('Cannot listen: {}.', error)
         sys.exit(EXIT_ADDRESS)
@@ -85,13 +86,16 @@
 class PlatformDaemon:
     """The node of this process, with its listeners."""
 
-    def __init__(self, settings: PlatformSettings, path: str) -> None:
+    def __init__(
+        self, settings: PlatformSettings, path: str, log_lines: PendingLines
+    ) -> None:
         """Create the node; ``path`` is the file read again on SIGHUP."""
         self._settings = settings
         self._path = path
         clock = Clock()
         self._clock = clock
         self._counters = PlainCounters()
+        self._counters.watch('log_lines_left_out', lambda: log_lines.left_out)
         rng = random.Random()
         ports = ForwardingPorts(
             clock,
--- a/bergamotmount/tests/test_daemonsignals.py
+++ b/bergamotmount/tests/test_daemonsignals.py
@@ -1,12 +1,16 @@
 """Signals that a node process gets at any time of its life."""
 
 import asyncio
+import fcntl
 import pathlib
 import signal
 import sys
 import tempfile
 import unittest
 
+from bergamotmount.forwarding.http import pack_request
+from bergamotmount.platform import names
+from bergamotmount.soak.httpcaller import ask
 from bergamotmount.tests.test_platform import SETTINGS
 from bergamotmount.tools.ports import PortAllocator
 
@@ -15,15 +19,21 @@
 
 START_TIMEOUT_S = 30
 
+#: Command to set the size of a pipe, and the smallest size.
+F_SETPIPE_SZ = 1031
+PIPE_BYTES = 4096
 
-class ReloadTest(unittest.IsolatedAsyncioTestCase):
-    """SIGHUP asks for new settings and ends no process."""
+
+class NodeProcessTestCase(unittest.IsolatedAsyncioTestCase):
+    """A node process on loopback; there is no store."""
 
     async def start(self) -> asyncio.subprocess.Process:
-        """Start a node on loopback; there is no store."""
+        """Start the process."""
         ports = PortAllocator()
         settings = SETTINGS.replace('10.1.0.8:8301', '127.0.0.1:1')
-        for address in ('8302', '8304', '8306'):
+        self.control = f'127.0.0.1:{ports.take()}'
+        settings = settings.replace('10.1.0.8:8306', self.control)
+        for address in ('8302', '8304'):
             settings = settings.replace(
                 f'10.1.0.8:{address}', f'127.0.0.1:{ports.take()}'
             )
@@ -44,6 +54,17 @@
             stdout=asyncio.subprocess.PIPE,
         )
 
+    async def stop(self, process: asyncio.subprocess.Process) -> None:
+        """End the process if it still runs."""
+        if process.returncode is None:
+            process.kill()
+        await process.communicate()
+        self.folder.cleanup()
+
+
+class ReloadTest(NodeProcessTestCase):
+    """SIGHUP asks for new settings and ends no process."""
+
     async def wait_loading(self, process: asyncio.subprocess.Process) -> None:
         """Wait until the process is in the middle of its start."""
         maps = pathlib.Path(f'/proc/{process.pid}/maps')
@@ -58,7 +79,27 @@
         process.send_signal(signal.SIGHUP)
         async with asyncio.timeout(START_TIMEOUT_S):
             line = await process.stdout.readline()
-        process.kill()
-        await process.communicate()
-        self.folder.cleanup()
+        await self.stop(process)
         self.assertIn(b' is up.', line)
+
+
+class UnreadLogTest(NodeProcessTestCase):
+    """A node goes on serving when nobody reads its standard output."""
+
+    async def test_announcements_are_answered(self):
+        """The event loop stood still once the pipe was full."""
+        process = await self.start()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await process.stdout.readline()
+        pipe = process._transport.get_pipe_transport(1)
+        pipe.pause_reading()
+        fcntl.fcntl(pipe.get_extra_info('pipe'), F_SETPIPE_SZ, PIPE_BYTES)
+        path = f'{names.INSTANCES_PATH}i-1'
+        invalid = pack_request('PUT', path, ['Host', 'control'], b'invalid')
+        statuses = []
+        for _ in range(100):
+            answer = await ask(self.control, invalid)
+            statuses.append(answer and answer.status)
+        pipe.resume_reading()
+        await self.stop(process)
+        self.assertEqual(set(statuses), {400})
