Take a restored store for evidence only once its era is known to be settled

What a starting process can know: the nodes' entries outlive the processes. They name now the era that their writer took for settled. One that names the present era shows that nothing has been lost since it was written; otherwise the store may have come back just now, and is no evidence for 2 s, as for processes that see the era rise. A node reads the entries before it replaces its own, and writes it again once a later era is settled. No wait at the first start of all, nor at a restart of everything beside a store that wasn't restored.

Ruled out: a wait after each start (costs keyed requests 2 s at each restart); an entry that states the era in which it was written (nodes publish again within 0.7 s of a restore, before operators have).

--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -131,6 +131,7 @@
             self.members,
             rng,
             self.quarantine.poison_requests.learn,
+            self._policy_access.settlement,
             options.is_first_start,
         )
         self._quotas = Quotas(
--- a/bergamotmount/forwarding/policyaccess.py
+++ b/bergamotmount/forwarding/policyaccess.py
@@ -6,6 +6,7 @@
 from bergamotmount.forwarding.options import ForwardingOptions, ForwardingPorts
 from bergamotmount.forwarding.policysource import RoutePolicySource
 from bergamotmount.forwarding.policyverifier import PolicyVerifier
+from bergamotmount.forwarding.storesettlement import StoreSettlement
 from bergamotmount.organisations.freshness import PolicyFreshness
 
 
@@ -21,6 +22,7 @@
         """Start without a policy; call ``on_update`` after each new version."""
         clock, rng = ports.clock, ports.rng
         self.freshness = PolicyFreshness(clock, options.policy_lease_ms)
+        self.settlement = StoreSettlement(clock, options.is_first_start)
         self.source = RoutePolicySource(
             clock,
             ports.store,
@@ -28,6 +30,7 @@
             rng,
             on_update,
             self.freshness,
+            self.settlement,
         )
         self.verifier = PolicyVerifier(clock, self.source, self.freshness, rng)
         self.caller_check = CallerCheck(options.header_names, self.freshness)
--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -18,6 +18,7 @@
 from bergamotmount import events
 from bergamotmount.clock import Clock
 from bergamotmount.forwarding.routetable import RoutePolicy, RouteTable
+from bergamotmount.forwarding.storesettlement import StoreSettlement
 from bergamotmount.forwarding.store import (
     KeyedStore,
     OffsetExpiredError,
@@ -38,10 +39,6 @@
 #: Time for which a read of the store waits for a newer record.
 LONG_POLL_MS = 20_000
 
-#: Time after a restore of the store in which what it shows may be outdated:
-#: operators and servers write again what was lost.
-ERA_SETTLE_MS = 2000
-
 _log = part_logger('policy')
 
 
@@ -72,10 +69,12 @@
         rng: random.Random,
         on_update: Callable[[], None],
         freshness: PolicyFreshness,
+        settlement: StoreSettlement,
     ) -> None:
         """Start without a policy; call ``on_update`` after each new version.
 
-        ``freshness`` gets the evidence that the active version is the newest.
+        ``freshness`` gets the evidence that the active version is the newest,
+        which the store gives only in an era that is settled.
         """
         self.table: RouteTable | None = None
         self.is_store_reachable: bool | None = None
@@ -86,10 +85,8 @@
         self._parser = parser
         self._on_update = on_update
         self._freshness = freshness
+        self._settlement = settlement
         self._has_unreadable_record = False
-        self._era_risen_ms = float('-inf')
-        self._known_era: int | None = None
-        self._first_era = 0
         self._position: _Position | None = None
         self._rng = rng
         self._failures = 0
@@ -223,12 +220,7 @@
     def _apply_page(self, page: StorePage, sent_ms: float) -> None:
         for record in page.records:
             self.apply_record(record, 'store')
-        if self._known_era is None:
-            self._known_era = page.era
-            self._first_era = page.era
-        if page.era > self._known_era:
-            self._known_era = page.era
-            self._era_risen_ms = self._clock.now_ms()
+        self._settlement.observe(page.era)
         if self._is_evidence(page, sent_ms):
             self._freshness.record(sent_ms)
 
@@ -236,15 +228,10 @@
         """Return whether a page shows that the active policy is the newest.
 
         A store that has just come back from an older copy may still lack a
-        record that was written before. The first era that this process sees
-        isn't known to be new.
+        record that was written before.
         """
-        is_settled = (
-            page.era <= self._first_era
-            or sent_ms - self._era_risen_ms >= ERA_SETTLE_MS
-        )
         return (
-            is_settled
+            self._settlement.is_settled(sent_ms)
             and page.is_complete
             and not self._has_unreadable_record
             and self.table is not None
--- a/bergamotmount/forwarding/store.py
+++ b/bergamotmount/forwarding/store.py
@@ -78,11 +78,13 @@
 class StoreEntries:
     """What nodes have published: themselves, and crashes under requests.
 
-    Members are without service and slots.
+    Members are without service and slots. ``settled_era`` is the latest era
+    of the store that any of them took for settled.
     """
 
     members: list[Member]
     crashes: list[CrashReport]
+    settled_era: int = 0
 
 
 class KeyedStore(Protocol):
@@ -104,8 +106,11 @@
         when the offset is no longer kept.
         """
 
-    async def publish_member(self, member: Member) -> None:
-        """Publish where a node is found, and its incarnation."""
+    async def publish_member(self, member: Member, settled_era: int) -> None:
+        """Publish where a node is found, and its incarnation.
+
+        ``settled_era`` is the era of the store that the node takes for settled.
+        """
 
     async def remove_member(self, node: str) -> None:
         """Remove the entry of a node."""
--- a/bergamotmount/platform/memberrecord.py
+++ b/bergamotmount/platform/memberrecord.py
@@ -1,5 +1,7 @@
 """Encodes the entry of a node in the platform's store."""
 
+import dataclasses
+
 import msgspec
 
 from bergamotmount.member import Member
@@ -14,6 +16,7 @@
     region: str
     failure_domain: str
     incarnation: int
+    settled_era: int = 0
 
 
 #: Largest number that messages between nodes can carry.
@@ -22,7 +25,15 @@
 _decoder = msgspec.json.Decoder(_WireMember)
 
 
-def pack_member(member: Member) -> bytes:
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeEntry:
+    """A node, and the era of the store that it took for settled."""
+
+    member: Member
+    settled_era: int
+
+
+def pack_member(member: Member, settled_era: int) -> bytes:
     """Return the record of a node; service and slots aren't part of it."""
     return msgspec.json.encode(
         _WireMember(
@@ -30,11 +41,12 @@
             member.region,
             member.failure_domain,
             member.incarnation,
+            settled_era,
         )
     )
 
 
-def parse_member(node: str, packed: bytes) -> Member:
+def parse_member(node: str, packed: bytes) -> NodeEntry:
     """Return the node that a record describes.
 
     Raise :class:`EntryError` when the record isn't an entry of a node.
@@ -48,10 +60,11 @@
         raise EntryError(f'{wire.address!r} is not an address')
     if abs(wire.incarnation) > MAX_WIRE_INTEGER:
         raise EntryError(f'incarnation {wire.incarnation} is too large')
-    return Member(
+    member = Member(
         node,
         wire.address,
         wire.region,
         wire.failure_domain,
         wire.incarnation,
     )
+    return NodeEntry(member, wire.settled_era)
--- a/bergamotmount/platform/store.py
+++ b/bergamotmount/platform/store.py
@@ -37,10 +37,12 @@
 )
 from bergamotmount.platform.memberrecord import (
     EntryError,
+    NodeEntry,
     pack_member,
     parse_member,
 )
 from bergamotmount.ports import LogError
+from bergamotmount.reports import CrashReport
 
 #: Timeout of a request, in addition to the time that it asks to wait.
 CALL_TIMEOUT_MS = 2500
@@ -115,9 +117,10 @@
         _check_status(response, names.LOG_READ_PATH)
         return _parse_policy_page(response.body, offset, answer.era)
 
-    async def publish_member(self, member: Member) -> None:
-        """Publish where a node is found, and its incarnation."""
-        await self._append_entry(member.node, pack_member(member))
+    async def publish_member(self, member: Member, settled_era: int) -> None:
+        """Publish where a node is found, and the era it takes for settled."""
+        packed = pack_member(member, settled_era)
+        await self._append_entry(member.node, packed)
 
     async def remove_member(self, node: str) -> None:
         """Remove the entry of a node."""
@@ -137,18 +140,24 @@
 
     async def entries(self) -> StoreEntries:
         """Return what nodes have published; skip what can't be read."""
-        entries = StoreEntries([], [])
+        nodes: list[NodeEntry] = []
+        crashes: list[CrashReport] = []
         after = ''
-        while True:
+        has_more = True
+        while has_more:
             newest = await self._read_newest(names.MEMBERS_TOPIC, after)
             for record in newest.records:
                 try:
-                    _add_entry(entries, record.key, _decode_value(record))
+                    _add_entry(nodes, crashes, record)
                 except (EntryError, LogError) as error:
                     _log.warning('Entry of {} skipped: {}.', record.key, error)
-            if not newest.has_more or not newest.records:
-                return entries
-            after = newest.records[-1].key
+            has_more = newest.has_more and bool(newest.records)
+            after = newest.records[-1].key if has_more else ''
+        return StoreEntries(
+            [node.member for node in nodes],
+            crashes,
+            max((node.settled_era for node in nodes), default=0),
+        )
 
     async def _append_entry(self, key: str, packed: bytes) -> None:
         record = _key_prefix(key) + packed
@@ -219,11 +228,14 @@
         raise LogError(f'{path}: status {response.status}')
 
 
-def _add_entry(entries: StoreEntries, key: str, packed: bytes) -> None:
-    if is_crashes_key(key):
-        entries.crashes.extend(parse_crashes(key, packed))
+def _add_entry(
+    nodes: list[NodeEntry], crashes: list[CrashReport], record: _KeyedRecord
+) -> None:
+    packed = _decode_value(record)
+    if is_crashes_key(record.key):
+        crashes.extend(parse_crashes(record.key, packed))
     else:
-        entries.members.append(parse_member(key, packed))
+        nodes.append(parse_member(record.key, packed))
 
 
 def _decode_value(record: _KeyedRecord) -> bytes:
--- a/bergamotmount/tests/fakestore.py
+++ b/bergamotmount/tests/fakestore.py
@@ -39,6 +39,7 @@
     record: bytes = b''
     node: str = ''
     member: Member | None = None
+    settled_era: int = 0
     fingerprint: int = 0
     servers: tuple[str, ...] = ()
 
@@ -90,9 +91,22 @@
         """Write the crashes under a request, or remove them."""
         self._add(_Write(_now_s(), fingerprint=fingerprint, servers=servers))
 
-    def write_member(self, node: str, member: Member | None) -> None:
+    def write_member(
+        self, node: str, member: Member | None, settled_era: int = 0
+    ) -> None:
         """Write or remove the entry of a node."""
-        self._add(_Write(_now_s(), node=node, member=member))
+        self._add(
+            _Write(_now_s(), node=node, member=member, settled_era=settled_era)
+        )
+
+    @property
+    def settled_era(self) -> int:
+        newest = {
+            write.node: write.settled_era
+            for write in self._writes
+            if write.node
+        }
+        return max(newest.values(), default=0)
 
     def restore(self, copy_age_s: float) -> None:
         """Come back from a copy of some seconds ago."""
@@ -154,8 +168,10 @@
         policies = [each for each in records[offset:] if each != OTHER_KEY]
         return StorePage(policies, len(records), self.store.era)
 
-    async def publish_member(self, member: Member) -> None:
-        await self._write(self.store.write_member, member.node, member)
+    async def publish_member(self, member: Member, settled_era: int) -> None:
+        await self._write(
+            self.store.write_member, member.node, member, settled_era
+        )
 
     async def remove_member(self, node: str) -> None:
         await self._write(self.store.write_member, node, None)
@@ -179,6 +195,7 @@
                 )
                 for server in servers
             ],
+            self.store.settled_era,
         )
 
     async def _write(self, write: Callable, *arguments: object) -> None:
--- a/bergamotmount/tests/test_platform.py
+++ b/bergamotmount/tests/test_platform.py
@@ -470,8 +470,8 @@
     async def test_entry_is_appended_with_lengths(self):
         self.add_json_reply({'offset': 0, 'end_offset': 1})
         member = Member('n-1', '10.0.0.1:7620', 'r', 'fd-1', 17, slots=3)
-        await self.store.publish_member(member)
-        packed = b'\x03n-1["10.0.0.1:7620","r","fd-1",17]'
+        await self.store.publish_member(member, 3)
+        packed = b'\x03n-1["10.0.0.1:7620","r","fd-1",17,3]'
         self.assertEqual(
             self.requests[0].body, len(packed).to_bytes(4) + packed
         )
--- a/bergamotmount/tests/test_storerestore.py
+++ b/bergamotmount/tests/test_storerestore.py
@@ -15,6 +15,12 @@
     default_routes,
     make_forwarding_fixture,
 )
+from bergamotmount.tests.test_organisations import (
+    ZETA,
+    keyed_policy,
+    make_keyed_fixture,
+    send_with_key,
+)
 from bergamotmount.tests.test_routetable import policy
 from bergamotmount.tests.virtualtime import VirtualTestCase
 
@@ -103,6 +109,61 @@
         fixture.close()
 
 
+class RestartDuringRestoreTest(VirtualTestCase):
+    """All nodes start while the store comes back from an older copy.
+
+    Nothing that a process still knows shows that a newer policy was lost.
+    """
+
+    async def start(self, copy_age_s: float) -> ForwardingFixture:
+        """Withdraw a key, and restart all nodes; restore the store if asked."""
+        self.fixture = await make_keyed_fixture()
+        await asyncio.sleep(2)
+        self.fixture.store.publish(keyed_policy(3, ZETA))
+        await asyncio.sleep(0.5)
+        for host in self.fixture.host_by_name.values():
+            host.kill()
+        if copy_age_s:
+            self.fixture.store.restore(copy_age_s)
+        for host in self.fixture.host_by_name.values():
+            host.start()
+            host.announce()
+        return self.fixture
+
+    async def statuses(self, key: str, seconds: float) -> set[int]:
+        """Send requests with a key for a while; return the statuses."""
+        host = self.fixture.host_by_name['b1']
+        statuses = set()
+        for _ in range(int(seconds * 10)):
+            statuses.add((await send_with_key(host, key)).status)
+            await asyncio.sleep(0.1)
+        return statuses
+
+    async def test_withdrawn_key_is_not_accepted(self):
+        """The policy of the older copy was taken for the newest."""
+        fixture = await self.start(1)
+        self.assertNotIn(200, await self.statuses('k1', 1.8))
+        fixture.store.publish(keyed_policy(3, ZETA))
+        self.assertNotIn(200, await self.statuses('k1', 3))
+        self.assertIn(200, await self.statuses('z1', 0.5))
+        fixture.close()
+
+    async def test_keys_are_accepted_at_once_without_a_restore(self):
+        """A restart of everything must not cost the wait for a restore."""
+        fixture = await self.start(0)
+        await asyncio.sleep(1)
+        self.assertEqual(await self.statuses('z1', 0.5), {200})
+        fixture.close()
+
+    async def test_entries_name_the_era_once_it_is_settled(self):
+        """Nodes that start later would wait for ever."""
+        fixture = await self.start(1)
+        self.assertLess(fixture.store.settled_era, fixture.store.era)
+        await asyncio.sleep(8)
+        self.assertEqual(fixture.store.settled_era, fixture.store.era)
+        fixture.close()
+
+
 class RandomRestoreTest(VirtualTestCase):
     """Restores at random moments, beside other faults of store and nodes."""
 
--- a/bergamotmount/tools/emulation/simulation.py
+++ b/bergamotmount/tools/emulation/simulation.py
@@ -119,7 +119,7 @@
         await asyncio.sleep(wait_ms / MS_PER_SECOND)
         return StorePage([], offset)
 
-    async def publish_member(self, member: Member) -> None:
+    async def publish_member(self, member: Member, settled_era: int) -> None:
         """Store the entry of a node."""
         self.member_by_node[member.node] = member
 
