Keep bodies that no message holds off the links between nodes

A body of over 4 MB was sent as a frame that the peer rejects: the connection ended, and all calls on it failed with 502, though the policy may allow 64 MB (from reading, in the review). A response of that size did the same.

Change: such a request goes to the server on this host or is refused (503, body_too_large, not run); such a response from another host is unknown (502), from this host whole. Both as limits of messages, from which the size of frames follows (4 MB as before).

Ruled out: larger frames (a node of 200 MB would hold several copies of 64 MB); 413 (the policy allows the request). What remains: large bodies reach one server only; splitting them over several messages isn't built.

The error on a real link wasn't replayed.

--- a/bergamotmount/forwarding/sender.py
+++ b/bergamotmount/forwarding/sender.py
@@ -34,7 +34,7 @@
 )
 from bergamotmount.forwarding.retrybudget import ServiceRetryBudget
 from bergamotmount.member import Member
-from bergamotmount.messages import Answer, Call
+from bergamotmount.messages import MAX_BODY_BYTES, Answer, Call
 from bergamotmount.organisations.freshness import PolicyFreshness
 from bergamotmount.outcomes import Answered, NotRun, Unknown
 from bergamotmount.ports import Lost, NotSent
@@ -127,9 +127,12 @@
     def _pick_server(self, pending: PendingRequest) -> Member | None:
         """Return the server to try next, ``None`` if none is left.
 
-        A quarantined request goes to the node that may probe it.
+        A quarantined request goes to the node that may probe it, one with a
+        body that no message holds to the server on this host.
         """
         router = self._deps.router
+        if len(pending.request.body) > MAX_BODY_BYTES:
+            return self._pick_local(pending)
         if self._crashes(pending) < MIN_CRASHES:
             server = None
             if pending.may_reach_another_server:
@@ -140,6 +143,16 @@
             return None
         return prober
 
+    def _pick_local(self, pending: PendingRequest) -> Member | None:
+        members = self._deps.router.members
+        if members.local_node not in pending.tried_nodes:
+            for member in members.routable(pending.service):
+                if member.node == members.local_node:
+                    return member
+        if pending.refusal is None:
+            pending.refusal = NotRun(RefusalReason.BODY_TOO_LARGE)
+        return None
+
     def _pick_again(self, pending: PendingRequest) -> Member | None:
         """Return a server that shed the request, ``None`` if there is none."""
         if not pending.may_return:
--- a/bergamotmount/messages.py
+++ b/bergamotmount/messages.py
@@ -18,6 +18,9 @@
     ThresholdReport,
 )
 
+#: Maximum size of the body in a message between nodes.
+MAX_BODY_BYTES = 3840 * 1024
+
 
 @dataclasses.dataclass(slots=True)
 class Call:
--- a/bergamotmount/serving.py
+++ b/bergamotmount/serving.py
@@ -1,12 +1,20 @@
 """Server side of peer connections: one task for each connection."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 from bergamotmount.counters import Counters
 from bergamotmount.log import part_logger
-from bergamotmount.messages import Answer, Call, Cancel, Message, Ping
-from bergamotmount.outcomes import Unknown
+from bergamotmount.messages import (
+    MAX_BODY_BYTES,
+    Answer,
+    Call,
+    Cancel,
+    Message,
+    Ping,
+)
+from bergamotmount.outcomes import Answered, Unknown
 from bergamotmount.ports import Channel, ChannelError
 from bergamotmount.reasons import DropReason, UnknownReason
 
@@ -99,8 +107,20 @@
     async def _answer(self, call: Call) -> Answer:
         """Return the answer to a call; after an error it may have run."""
         try:
-            return await self._on_call(call)
+            answer = await self._on_call(call)
         except Exception:
             _log.exception('Call of request {} failed.', call.root)
             self._counters.dropped(DropReason.INTERNAL_ERROR)
             return Answer(call.attempt, Unknown(UnknownReason.ANSWER_LOST))
+        if not _fits_message(answer):
+            # It would end the connection, and all calls on it.
+            too_large = Unknown(UnknownReason.ANSWER_TOO_LARGE)
+            return dataclasses.replace(answer, outcome=too_large)
+        return answer
+
+
+def _fits_message(answer: Answer) -> bool:
+    outcome = answer.outcome
+    return not (
+        isinstance(outcome, Answered) and len(outcome.body) > MAX_BODY_BYTES
+    )
--- a/bergamotmount/wire/frames.py
+++ b/bergamotmount/wire/frames.py
@@ -9,6 +9,7 @@
 import struct
 import zlib
 
+from bergamotmount.messages import MAX_BODY_BYTES
 from bergamotmount.reasons import DropReason
 
 _HEADER = struct.Struct('!III')
@@ -16,8 +17,8 @@
 #: Length of the header in bytes.
 HEADER_BYTES = _HEADER.size
 
-#: Default maximum size of a payload in bytes.
-MAX_PAYLOAD_BYTES = 4 << 20
+#: Default maximum size of a payload in bytes: a body and all else.
+MAX_PAYLOAD_BYTES = MAX_BODY_BYTES + 256 * 1024
 
 
 class FrameError(Exception):
