Don't send a request on a new connection that the server has closed already

A server resets connections beyond those that it accepts. If the end of a new connection was seen before the request was written, nothing ended the exchange, and the caller waited for its deadline. Found while looking at each place that takes a call for not run: nothing was written here, so it is not run, at once.

Evidence: test_new_connection_that_the_server_closes got the connection before.

--- a/bergamotmount/forwarding/httpclient.py
+++ b/bergamotmount/forwarding/httpclient.py
@@ -48,6 +48,8 @@
         connection = self._take_idle(request_id, is_fresh)
         if connection is None:
             connection = await self._open()
+        if not connection.is_usable:
+            raise NotConnectedError(f'{self.address}: closed by the server')
         self._in_use.add(connection)
         return connection
 
--- a/bergamotmount/tests/test_httpclient.py
+++ b/bergamotmount/tests/test_httpclient.py
@@ -241,6 +241,7 @@
         pool = ConnectionPool(LoopClock(), '10.0.0.1:80')
         pool._open = self.open
         self.opened = []
+        self.ends_at_once = False
         return pool
 
     async def open(self) -> ServerConnection:
@@ -248,6 +249,8 @@
         connection = ServerConnection(LoopClock())
         connection.connection_made(FakeTransport(connection))
         self.opened.append(connection)
+        if self.ends_at_once:
+            connection.connection_lost(ConnectionResetError())
         return connection
 
     async def use(
@@ -300,6 +303,13 @@
             connection.record_refusal(str(number))
         self.assertFalse(connection.is_usable)
 
+    async def test_new_connection_that_the_server_closes(self):
+        """A request was sent on it, and waited for its deadline."""
+        pool = self.pool()
+        self.ends_at_once = True
+        with self.assertRaises(NotConnectedError):
+            await pool.acquire()
+
     async def test_refused_connection(self):
         """A failure to connect is distinguished from one after sending."""
         pool = ConnectionPool(LoopClock(), '127.0.0.1:1')
