--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -21,11 +21,7 @@
 )
 from bergamotmount.forwarding.headers import HeaderNames
 from bergamotmount.forwarding.http import (
-    CONNECTION_HEADERS,
-    NOT_RUN_STATUSES,
     HttpResponse,
-    forwarded_headers,
-    header_of,
     pack_request,
 )
 from bergamotmount.forwarding.httpclient import (
@@ -36,7 +32,9 @@
 from bergamotmount.forwarding.quarantine import Quarantine, fingerprint_of
 from bergamotmount.forwarding.serverconnection import (
     BrokenExchangeError,
+    ServerConnection,
 )
+from bergamotmount.forwarding.serverresponse import ResponseClassifier
 from bergamotmount.forwarding.serversignals import NO_SIGNALS, read_signals
 from bergamotmount.lifecycle import ServerLifecycle, ServerState
 from bergamotmount.messages import Answer, Call
@@ -50,7 +48,6 @@
 MIN_REMAINING_MS = 5
 
 _ROLE = 'ingress'
-_MISDIRECTED = 421
 _SUCCESSES = range(200, 300)
 
 
@@ -113,6 +110,9 @@
         self._detached_tasks: set[asyncio.Task] = set()
         self._signals = NO_SIGNALS
         self._refusal_check: asyncio.Task[bool] | None = None
+        self._classifier = ResponseClassifier(
+            header_names, deps.admission.retry_after_ms
+        )
         self.decisions = DecisionLog(clock, 'gateway')
 
     def attach_process(self, process: ServerProcess) -> None:
@@ -230,7 +230,10 @@
         self._counters.admitted(call.service)
 
     async def _exchange(
-        self, connection, call: Call, active: ActiveRequest
+        self,
+        connection: ServerConnection,
+        call: Call,
+        active: ActiveRequest,
     ) -> Outcome:
         process = self.process
         packed = self._pack(call, active.deadline_ms)
@@ -252,7 +255,9 @@
             return Unknown(UnknownReason.ANSWER_LOST)
         if process is self.process:
             self._record_signals(response, sent_ms)
-        outcome = self._classify(response, call.idempotent)
+        if self._classifier.is_misdirected(response):
+            self._deps.lifecycle.expire_lease()
+        outcome = self._classifier.outcome_of(response, call.idempotent)
         if isinstance(outcome, NotRun):
             connection.record_refusal(call.root)
             self._log_server_refusal(call, response, connection, sent_ms)
@@ -276,28 +281,20 @@
         )
 
     def _is_response_to(
-        self, response: HttpResponse, root: str, connection
+        self, response: HttpResponse, root: str, connection: ServerConnection
     ) -> bool:
-        """Return whether a response answers the request with this root id.
-
-        A response without an id is accepted only on a new connection: on a
-        reused one it may be a late answer to an earlier request.
-        """
-        request_id = header_of(response.headers, self._header_names.request_id)
-        if request_id is None:
-            belongs = connection.requests == 1
-        else:
-            belongs = request_id == root
-        if not belongs:
-            self._counters.dropped(DropReason.STRAY_RESPONSE)
-            self.decisions.write(
-                'stray',
-                request=root,
-                answers=request_id or '',
-                status=response.status,
-                connection=connection.number,
-            )
-        return belongs
+        """Return whether a response answers this request; log strays."""
+        if self._classifier.answers(response, root, connection):
+            return True
+        self._counters.dropped(DropReason.STRAY_RESPONSE)
+        self.decisions.write(
+            'stray',
+            request=root,
+            answers=self._classifier.request_id_of(response) or '',
+            status=response.status,
+            connection=connection.number,
+        )
+        return False
 
     async def _record_broken(
         self, call: Call, process: ServerProcess, error: BrokenExchangeError
@@ -329,7 +326,7 @@
 
     def _record_signals(self, response: HttpResponse, sent_ms: float) -> None:
         signals = read_signals(response.headers, self._header_names)
-        if signals is NO_SIGNALS and not self._is_signed(response):
+        if signals is NO_SIGNALS and not self._classifier.is_signed(response):
             # A bare refusal needn't state what still holds.
             return
         rate = self._deps.admission.limit.rate
@@ -346,29 +343,6 @@
         if signals.is_leaving:
             self._deps.depart(self.process.instance)
 
-    def _classify(self, response: HttpResponse, is_idempotent: bool) -> Outcome:
-        """Return the outcome that a response of the server stands for."""
-        headers = response.headers
-        if header_of(headers, self._header_names.not_run) is not None:
-            shed = self._not_run(RefusalReason.SERVER_SHED)
-            return dataclasses.replace(shed, may_return=True)
-        if response.status == _MISDIRECTED:
-            self._deps.lifecycle.expire_lease()
-            return self._not_run(RefusalReason.NOT_SERVING)
-        if response.status in NOT_RUN_STATUSES and not is_idempotent:
-            return Unknown(UnknownReason.UNMARKED_REFUSAL)
-        if header_of(headers, 'Content-Encoding') is not None:
-            return Unknown(UnknownReason.ANSWER_INCOMPLETE)
-        if response.status in _SUCCESSES and not self._is_signed(response):
-            return Unknown(UnknownReason.ANSWER_INCOMPLETE)
-        flat = forwarded_headers(headers, CONNECTION_HEADERS)
-        return Answered(response.status, flat, response.body)
-
-    def _is_signed(self, response: HttpResponse) -> bool:
-        """Return whether the server marked a response as its own."""
-        signature = header_of(response.headers, self._header_names.signature)
-        return signature is not None
-
     def _refusal_reason(
         self, call: Call, deadline_ms: float
     ) -> RefusalReason | None:
@@ -408,7 +382,11 @@
                 self._log_decision('unknown', call, reason)
 
     def _log_server_refusal(
-        self, call: Call, response: HttpResponse, connection, sent_ms: float
+        self,
+        call: Call,
+        response: HttpResponse,
+        connection: ServerConnection,
+        sent_ms: float,
     ) -> None:
         """Log what a "not run" of the server rests on."""
         self.decisions.write(
