Don't take a 421 of an earlier server process for one of the present

A response that arrives after another process of the server was announced could mark that one as absent. Found in reading; the lease is ended only if the process that was asked is still the present one. No test of its own; 44 tests of the modules pass. Imports of policysource back in order.

--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -255,8 +255,8 @@
             return Unknown(UnknownReason.ANSWER_LOST)
         if process is self.process:
             self._record_signals(response, sent_ms)
-        if self._classifier.is_misdirected(response):
-            self._deps.lifecycle.expire_lease()
+            if self._classifier.is_misdirected(response):
+                self._deps.lifecycle.expire_lease()
         outcome = self._classifier.outcome_of(response, call.idempotent)
         if isinstance(outcome, NotRun):
             connection.record_refusal(call.root)
--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -18,13 +18,13 @@
 from bergamotmount import events
 from bergamotmount.clock import Clock
 from bergamotmount.forwarding.routetable import RoutePolicy, RouteTable
-from bergamotmount.forwarding.storesettlement import StoreSettlement
 from bergamotmount.forwarding.store import (
     KeyedStore,
     OffsetExpiredError,
     StorePage,
     store_backoff_ms,
 )
+from bergamotmount.forwarding.storesettlement import StoreSettlement
 from bergamotmount.log import part_logger
 from bergamotmount.messages import (
     Message,
