Keep a stopping node draining when its server starts anew

A server that was announced for the first time beside a stopping node put it back into use: calls were accepted again and cut at its end. Found in reading the stop.

Evidence: test_node_stays_draining failed before (accepting during the stop).

--- a/bergamotmount/forwarding/localserver.py
+++ b/bergamotmount/forwarding/localserver.py
@@ -60,6 +60,7 @@
         self._confirm_until_ms: float = 0
         self._confirmed: tuple[str, int] | None = None
         self._confirming: asyncio.Task | None = None
+        self._is_stopping = False
 
     def attach(self, gateway: Gateway, admission: Admission) -> None:
         """Apply announcements to this gateway and admission from now on."""
@@ -121,6 +122,11 @@
             _log.info('Server {} is leaving.', instance)
             self.lifecycle.drain()
 
+    def stop(self) -> None:
+        """Drain the server for good, as this node stops."""
+        self._is_stopping = True
+        self.lifecycle.drain()
+
     def check(self) -> None:
         """Expire the lease and end the slow start; call regularly."""
         self.lifecycle.check_lease()
@@ -164,6 +170,8 @@
             _log.info('Server {} is not confirmed.', announcement.instance)
 
     def _register(self, announcement: Announcement) -> None:
+        if self._is_stopping:
+            return
         self._gateway.attach_process(
             ServerProcess(
                 announcement.instance,
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -199,7 +199,7 @@
         started_ms = clock.now_ms()
         self.is_stopping = True
         self.caller_server.disable_keep_alive()
-        self.local_server.lifecycle.drain()
+        self.local_server.stop()
         await clock.sleep(stop.notice_ms)
         self.entry.refuse_new(stop.max_drain_ms - stop.notice_ms)
         self.caller_server.stop_listening()
--- a/bergamotmount/tests/test_forwarding.py
+++ b/bergamotmount/tests/test_forwarding.py
@@ -477,6 +477,22 @@
         fixture.close()
 
 
+class ServerStartDuringStopTest(VirtualTestCase):
+    """A server that starts beside a stopping node gets no requests."""
+
+    async def test_node_stays_draining(self):
+        """The node accepted calls again, which it cut at its end."""
+        fixture = await make_forwarding_fixture()
+        host = fixture.host_by_name['a1']
+        stopping = asyncio.create_task(host.node.stop())
+        await asyncio.sleep(0.5)
+        host.announce(sequence=1, process_start_ms=900)
+        await asyncio.sleep(0.5)
+        self.assertFalse(host.node.local_server.lifecycle.is_accepting)
+        await stopping
+        fixture.close()
+
+
 class LateRequestTest(VirtualTestCase):
     """A stopping node takes no request that it couldn't finish.
 
