--- a/bergamotmount/tests/test_daemonsignals.py
+++ b/bergamotmount/tests/test_daemonsignals.py
@@ -10,7 +10,7 @@
 
 from bergamotmount.forwarding.http import pack_request
 from bergamotmount.platform import names
-from bergamotmount.soak.httpcaller import ask
+from bergamotmount.tools.soak.httpcaller import ask
 from bergamotmount.tests.test_platform import SETTINGS
 from bergamotmount.tools.ports import PortAllocator
 
--- a/bergamotmount/tests/test_forwarding.py
+++ b/bergamotmount/tests/test_forwarding.py
@@ -4,19 +4,8 @@
 
 import logbook
 
-from bergamotmount.forwarding.http import (
-    HttpRequest,
-    HttpResponse,
-    header_of,
-)
-from bergamotmount.forwarding.httpconnection import (
-    Connection,
-    HttpReply,
-    RemoteAddress,
-)
-from bergamotmount.messages import MAX_BODY_BYTES
+from bergamotmount.forwarding.http import header_of
 from bergamotmount.reasons import RefusalReason
-from bergamotmount.tests.faketransport import FakeTransport
 from bergamotmount.tests.forwardingfixture import (
     HEADER_NAMES,
     FakeConnection,
@@ -383,55 +372,6 @@
         fixture.close()
 
 
-class LargeBodyTest(VirtualTestCase):
-    """A body that no message holds must not end the calls of a link.
-
-    The policy may allow bodies of 64 MB; a frame between nodes has 4 MB.
-    """
-
-    LARGE = b'x' * (MAX_BODY_BYTES + 1)
-
-    async def send(self, fixture, name: str, body: bytes) -> HttpReply:
-        """Send an order with a body to the node of a host."""
-        headers = [
-            ('Host', 'shop'),
-            (HEADER_NAMES.request_id, 'large'),
-            (HEADER_NAMES.deadline, '2000'),
-        ]
-        request = HttpRequest('POST', '/buy/1', headers, body)
-        node = fixture.host_by_name[name].node
-        return await node.entry.handle(request, RemoteAddress('10.0.0.9'))
-
-    async def test_large_request(self):
-        """It was sent as a frame that ends the connection."""
-        fixture = await make_forwarding_fixture()
-        reply = await self.send(fixture, 'b1', self.LARGE)
-        self.assertEqual(reply.status, 503)
-        self.assertEqual(fixture.received_counts().total(), 0)
-        reply = await self.send(fixture, 'a1', self.LARGE)
-        self.assertEqual(reply.status, 200)
-        self.assertEqual(len(fixture.host_by_name['a1'].server.received), 1)
-        fixture.close()
-
-    async def test_large_response(self):
-        """It is unknown to a caller elsewhere, and whole to one here."""
-        fixture = await make_forwarding_fixture()
-
-        async def answer(request: HttpRequest) -> HttpResponse:
-            response = make_response(request)
-            response.body = self.LARGE
-            return response
-
-        fixture.host_by_name['a1'].server.behaviour = answer
-        fixture.host_by_name['a2'].kill()
-        await asyncio.sleep(5)
-        reply = await self.send(fixture, 'b1', b'')
-        self.assertEqual(reply.status, 502)
-        reply = await self.send(fixture, 'a1', b'')
-        self.assertEqual(reply.body, self.LARGE)
-        fixture.close()
-
-
 class BrokenExchangeTest(VirtualTestCase):
     """The log tells why the answer of a server was lost."""
 
@@ -451,110 +391,6 @@
         fixture.close()
 
 
-class StopTest(VirtualTestCase):
-    """A graceful stop interrupts no request."""
-
-    async def test_requests_in_flight_complete(self):
-        """A stopping node could drop requests at its server or caller."""
-        fixture = await make_forwarding_fixture(
-            route('read', '/a/', timeout_ms=4000),
-        )
-        server = fixture.host_by_name['a1'].server
-        server.service_ms = 3000
-        in_flight = asyncio.create_task(
-            fixture.host_by_name['b1'].send(deadline_ms=4000),
-        )
-        await asyncio.sleep(0.1)
-        stopping = asyncio.create_task(fixture.host_by_name['a1'].node.stop())
-        await asyncio.sleep(0.1)
-        self.assertFalse(fixture.host_by_name['a1'].node.is_ready)
-        reply = await fixture.host_by_name['b1'].send(deadline_ms=4000)
-        self.assertEqual(reply.status, 200)
-        self.assertEqual(len(server.received), 1)
-        self.assertEqual((await in_flight).status, 200)
-        await stopping
-        self.assertNotIn('a1', fixture.store.member_by_node)
-        fixture.close()
-
-
-class ServerStartDuringStopTest(VirtualTestCase):
-    """A server that starts beside a stopping node gets no requests."""
-
-    async def test_node_stays_draining(self):
-        """The node accepted calls again, which it cut at its end."""
-        fixture = await make_forwarding_fixture()
-        host = fixture.host_by_name['a1']
-        stopping = asyncio.create_task(host.node.stop())
-        await asyncio.sleep(0.5)
-        host.announce(sequence=1, process_start_ms=900)
-        await asyncio.sleep(0.5)
-        self.assertFalse(host.node.local_server.lifecycle.is_accepting)
-        await stopping
-        fixture.close()
-
-
-class LateRequestTest(VirtualTestCase):
-    """A stopping node takes no request that it couldn't finish.
-
-    The head of an order begins to arrive before the node stops listening; the
-    rest comes late in the stop.
-    """
-
-    def connect(self, host) -> tuple[Connection, FakeTransport]:
-        """Return a caller's connection to the node of a host."""
-        connection = Connection(host.node.caller_server)
-        transport = FakeTransport(connection)
-        connection.connection_made(transport)
-        return connection, transport
-
-    def order(self, request_id: str) -> bytes:
-        """Return the bytes of an order."""
-        names = HEADER_NAMES
-        return (
-            'POST /buy/1 HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\n'
-            f'{names.request_id}: {request_id}\r\n'
-            f'{names.deadline}: 5000\r\n\r\nx'
-        ).encode()
-
-    async def send_late(self, other: bytes) -> FakeTransport:
-        """Send an order late in a stop, beside another request."""
-        self.fixture = await make_forwarding_fixture(
-            route('buy', '/buy/', is_idempotent=False, timeout_ms=9000)
-        )
-        for name in ('a1', 'a2'):
-            self.fixture.host_by_name[name].server.service_ms = 4900
-        host = self.fixture.host_by_name['b1']
-        connection, transport = self.connect(host)
-        stopping = asyncio.create_task(host.node.stop())
-        self.connect(host)[0].data_received(other)
-        order = self.order('late')
-        await asyncio.sleep(2.4)
-        connection.data_received(order[:20])
-        await asyncio.sleep(2.4)
-        connection.data_received(order[20:])
-        await asyncio.sleep(0.01)
-        self.answer_at_once = bytes(transport.written)
-        await stopping
-        return transport
-
-    def check_refused(self, transport: FakeTransport) -> None:
-        """Check that the order was refused at once, and not passed on."""
-        self.assertTrue(self.answer_at_once.startswith(b'HTTP/1.1 503 '))
-        self.assertIn(b'Retry-After: ', self.answer_at_once)
-        self.assertEqual(self.answer_at_once, transport.written)
-        self.assertNotIn('late', self.fixture.received_counts())
-        self.fixture.close()
-
-    async def test_only_request_is_refused(self):
-        """It was cut without an answer when it was about to complete."""
-        self.check_refused(await self.send_late(b''))
-
-    async def test_request_beside_another_is_refused(self):
-        """It was passed on, and cut without an answer at the end."""
-        self.check_refused(await self.send_late(self.order('earlier')))
-        self.assertEqual(self.fixture.received_counts()['earlier'], 1)
-
-
 class OverloadTest(VirtualTestCase):
     """The server never receives more requests than its limit allows."""
 
--- a/bergamotmount/tests/test_soak.py
+++ b/bergamotmount/tests/test_soak.py
@@ -6,8 +6,8 @@
 import unittest
 
 from bergamotmount.clock import LoopClock
-from bergamotmount.soak.ledger import Ledger, Promise
-from bergamotmount.soak.soakrun import SoakOptions, SoakRun
+from bergamotmount.tools.soak.ledger import Ledger, Promise
+from bergamotmount.tools.soak.soakrun import SoakOptions, SoakRun
 from bergamotmount.tests.virtualtime import VirtualTestCase
 
 SOURCE = pathlib.Path(__file__).resolve().parents[2]
--- a/bergamotmount/soak/__init__.py
+++ b/bergamotmount/tools/soak/__init__.py
@@ -5,5 +5,5 @@
 and repeat responses; nodes are stopped, killed, paused and told to reload;
 servers leave. What callers and servers have seen is checked at the end::
 
-    python -m bergamotmount.soak --seed 7 --seconds 30
+    python -m bergamotmount.tools.soak --seed 7 --seconds 30
 """
--- a/bergamotmount/soak/__main__.py
+++ b/bergamotmount/tools/soak/__main__.py
@@ -7,9 +7,9 @@
 import shutil
 import sys
 
-from bergamotmount.soak.soakrun import SoakOptions, SoakOutcome, SoakRun
+from bergamotmount.tools.soak.soakrun import SoakOptions, SoakOutcome, SoakRun
 
-HERE = pathlib.Path(__file__).resolve().parents[2]
+HERE = pathlib.Path(__file__).resolve().parents[3]
 
 
 def main() -> None:
@@ -48,7 +48,7 @@
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
-        prog='python -m bergamotmount.soak', description=__doc__
+        prog='python -m bergamotmount.tools.soak', description=__doc__
     )
     add = parser.add_argument
     add('--seed', type=int, default=1, help='seed of the first run')
--- a/bergamotmount/soak/callers.py
+++ b/bergamotmount/tools/soak/callers.py
@@ -8,12 +8,12 @@
 from bergamotmount.clock import MS_PER_SECOND
 from bergamotmount.forwarding.http import header_of, pack_request
 from bergamotmount.platform import names
-from bergamotmount.soak.httpcaller import (
+from bergamotmount.tools.soak.httpcaller import (
     CallerConnection,
     EndedError,
     Response,
 )
-from bergamotmount.soak.ledger import Ledger
+from bergamotmount.tools.soak.ledger import Ledger
 
 DEADLINE_MS = 5000
 THINK_S = 0.02
--- a/bergamotmount/soak/soakrun.py
+++ b/bergamotmount/tools/soak/soakrun.py
@@ -10,15 +10,15 @@
 from collections.abc import Coroutine
 
 from bergamotmount.clock import Clock
-from bergamotmount.soak.callers import Caller
-from bergamotmount.soak.deployment import NodeProcess
-from bergamotmount.soak.ledger import Breach, Ledger
-from bergamotmount.soak.standinserver import (
+from bergamotmount.tools.soak.callers import Caller
+from bergamotmount.tools.soak.deployment import NodeProcess
+from bergamotmount.tools.soak.ledger import Breach, Ledger
+from bergamotmount.tools.soak.standinserver import (
     Misbehaviour,
     ServerAddresses,
     StandinServer,
 )
-from bergamotmount.soak.standinstore import StandinStore
+from bergamotmount.tools.soak.standinstore import StandinStore
 from bergamotmount.tools.ports import PortAllocator
 
 #: Time for the nodes to find each other before callers come.
--- a/bergamotmount/soak/standinserver.py
+++ b/bergamotmount/tools/soak/standinserver.py
@@ -11,8 +11,8 @@
 from bergamotmount.clock import MS_PER_SECOND
 from bergamotmount.forwarding.http import pack_request, pack_response
 from bergamotmount.platform import names
-from bergamotmount.soak.httpcaller import ask
-from bergamotmount.soak.ledger import Ledger
+from bergamotmount.tools.soak.httpcaller import ask
+from bergamotmount.tools.soak.ledger import Ledger
 
 HEARTBEAT_S = 1.5
 SLOTS = 16
