--- a/bergamotmount/forwarding/httpserver.py
+++ b/bergamotmount/forwarding/httpserver.py
@@ -45,11 +45,6 @@
         self.is_closing = False
         self._server: asyncio.Server | None = None
 
-    @property
-    def pending_requests(self) -> int:
-        """Number of received requests without a reply."""
-        return sum(len(each.pipeline) for each in self.connections)
-
     @property
     def is_busy(self) -> bool:
         """Whether a request is being received or waits for its reply.
--- a/bergamotmount/tests/test_httpserver.py
+++ b/bergamotmount/tests/test_httpserver.py
@@ -149,7 +149,7 @@
         connection.connection_lost(None)
         await self.settle()
         self.assertEqual(self.cancelled, ['/a/1', '/a/1'])
-        self.assertEqual(self.server.pending_requests, 0)
+        self.assertFalse(self.server.is_busy)
 
     async def test_stopping_server_closes_after_reply(self):
         """A request in flight at the stop still gets its reply."""
--- a/bergamotmount/tools/soak/deployment.py
+++ b/bergamotmount/tools/soak/deployment.py
@@ -59,11 +59,6 @@
         self._starts = 0
         self._process: asyncio.subprocess.Process | None = None
 
-    @property
-    def exit_code(self) -> int | None:
-        """Exit code of the process, ``None`` while it runs."""
-        return self._process.returncode
-
     async def start(self, release: pathlib.Path) -> None:
         """Start the process."""
         path = self._folder / f'{self.name}.conf'
--- a/bergamotmount/tools/soak/soakrun.py
+++ b/bergamotmount/tools/soak/soakrun.py
@@ -122,9 +122,7 @@
         server = StandinServer(
             f'i-{self._lives}',
             node.service,
-            ServerAddresses(
-                addresses.server, addresses.control, addresses.callers
-            ),
+            ServerAddresses(addresses.server, addresses.control),
             self._ledger,
             random.Random(self._rng.random()),
         )
--- a/bergamotmount/tools/soak/standinserver.py
+++ b/bergamotmount/tools/soak/standinserver.py
@@ -67,11 +67,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerAddresses:
-    """Where a server listens, and where its node does."""
+    """Where a server listens, and where its node takes announcements."""
 
     own: str
     control: str
-    callers: str
 
 
 class StandinServer:
