Skip a deeply nested entry instead of ending the reading of all

Cause: the JSON decoders report nesting beyond the recursion limit, also in a field that nobody reads, by RecursionError, which is no MsgspecError and no ValueError. It passed every handler of unreadable input and ended the task that reads all entries; supervision started it again 0.5 s later, to read the same entry. The same held for policy records (policy task), announcements (500), and on the own interface for policy records, checkpoints, peers' states, addresses in the log and pages of the log.

Change: jsoninput has one place that calls a decoder on somebody else's text and reports all its errors as one. Documents that all nodes must judge alike are bounded by a depth of 100, since the recursion limit counts from the caller's own depth. Known records are nested six deep at most.

Ruled out: thrift's decoder (structs, lists and maps nested 1,300,000 deep in an unread field give its own error, 3 kinds tried).

--- a/bergamotmount/acceptance.py
+++ b/bergamotmount/acceptance.py
@@ -16,6 +16,7 @@
 
 from bergamotmount import policy as policy_model
 from bergamotmount import records
+from bergamotmount.jsoninput import decode_json
 
 #: Maximum number of verdicts stored for operators and to detect duplicates.
 MAX_VERDICTS = 1000
@@ -121,7 +122,7 @@
         Raise :class:`StateError` for any other input.
         """
         try:
-            return cls._from_document(json.loads(raw))
+            return cls._from_document(decode_json(json.loads, raw))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise StateError(f'not an accepted state: {error}') from error
 
@@ -260,7 +261,8 @@
     if not raw.startswith(_CHECKPOINT_START):
         return None
     try:
-        return AcceptedState.from_bytes(json.loads(raw)[_CHECKPOINT].encode())
+        checkpoint = decode_json(json.loads, raw)
+        return AcceptedState.from_bytes(checkpoint[_CHECKPOINT].encode())
     except (ValueError, AttributeError, StateError):
         return None
 
--- a/bergamotmount/adapters/log.py
+++ b/bergamotmount/adapters/log.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from bergamotmount.jsoninput import decode_json
 from bergamotmount.ports import LogError, LogPage, LogRecord
 
 #: Timeout of a request, in addition to the time that it asks to wait.
@@ -82,7 +83,7 @@
                     raise LogError(
                         f'{method} {stream}: HTTP status {response.status}',
                     )
-                return json.loads(await response.read())
+                return decode_json(json.loads, await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise LogError(f'{method} {stream}: {error!r}') from error
         except ValueError as error:
--- a/bergamotmount/joining.py
+++ b/bergamotmount/joining.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from bergamotmount.clock import Clock
+from bergamotmount.jsoninput import load_json
 from bergamotmount.membership import Members
 from bergamotmount.ports import LogError, LogService
 
@@ -86,6 +87,6 @@
 
 def _parse_address(raw: bytes) -> str:
     try:
-        return str(json.loads(raw)['address'])
+        return str(load_json(raw)['address'])
     except (ValueError, KeyError, TypeError):
         return ''
--- a/bergamotmount/platform/control.py
+++ b/bergamotmount/platform/control.py
@@ -9,6 +9,7 @@
     RemoteAddress,
 )
 from bergamotmount.forwarding.node import ForwardingNode
+from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.log import part_logger
 from bergamotmount.platform import names
 
@@ -80,8 +81,8 @@
 
     def _announce(self, instance: str, body: bytes) -> HttpReply:
         try:
-            announced = _decoder.decode(body)
-        except msgspec.MsgspecError as error:
+            announced = decode_json(_decoder.decode, body)
+        except JsonError as error:
             return self._reject(instance, str(error))
         problem = self._find_problem(announced)
         if problem:
--- a/bergamotmount/platform/crashrecord.py
+++ b/bergamotmount/platform/crashrecord.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bergamotmount.jsoninput import decode_json
 from bergamotmount.platform.memberrecord import (
     MAX_WIRE_INTEGER,
     EntryError,
@@ -38,8 +39,8 @@
     """
     try:
         fingerprint = int(key.removeprefix(_PREFIX), _HEX)
-        servers = _decoder.decode(packed)
-    except (ValueError, msgspec.MsgspecError) as error:
+        servers = decode_json(_decoder.decode, packed)
+    except ValueError as error:
         raise EntryError(str(error)) from error
     if not 0 <= fingerprint <= MAX_WIRE_INTEGER:
         raise EntryError(f'{key!r} is not the key of a fingerprint')
--- a/bergamotmount/platform/memberrecord.py
+++ b/bergamotmount/platform/memberrecord.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.member import Member
 
 
@@ -52,8 +53,8 @@
     Raise :class:`EntryError` when the record isn't an entry of a node.
     """
     try:
-        wire = _decoder.decode(packed)
-    except msgspec.MsgspecError as error:
+        wire = decode_json(_decoder.decode, packed)
+    except JsonError as error:
         raise EntryError(str(error)) from error
     host, _, port = wire.address.rpartition(':')
     if not host or not port.isdecimal():
--- a/bergamotmount/platform/policyrecord.py
+++ b/bergamotmount/platform/policyrecord.py
@@ -14,6 +14,7 @@
     ServicePolicy,
     WeightedService,
 )
+from bergamotmount.jsoninput import decode_json
 from bergamotmount.log import part_logger
 from bergamotmount.organisations.organisation import Organisation, Quota
 
@@ -80,9 +81,9 @@
     Raise :class:`PolicyError` when the record isn't a valid policy.
     """
     try:
-        wire = _decoder.decode(record)
+        wire = decode_json(_decoder.decode, record)
         version = int(wire.version, _HEX)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except ValueError as error:
         raise PolicyError(str(error)) from error
     return RoutePolicy(
         version,
--- a/bergamotmount/platform/store.py
+++ b/bergamotmount/platform/store.py
@@ -26,6 +26,7 @@
     StoreEra,
     StorePage,
 )
+from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.log import part_logger
 from bergamotmount.member import Member
 from bergamotmount.platform import names
@@ -176,8 +177,8 @@
         answer = await self._request('GET', names.LOG_NEWEST_PATH, query)
         _check_status(answer.response, names.LOG_NEWEST_PATH)
         try:
-            newest = _newest_decoder.decode(answer.response.body)
-        except msgspec.MsgspecError as error:
+            newest = decode_json(_newest_decoder.decode, answer.response.body)
+        except JsonError as error:
             raise LogError(f'{names.LOG_NEWEST_PATH}: {error}') from error
         newest.era = answer.era
         return newest
--- a/bergamotmount/records.py
+++ b/bergamotmount/records.py
@@ -8,11 +8,11 @@
 """
 
 import dataclasses
-import json
 from typing import Annotated, Literal
 
 import pydantic
 
+from bergamotmount.jsoninput import JsonError, load_json
 from bergamotmount.rank import LEVELS
 
 #: Newest schema version that this release reads.
@@ -159,8 +159,8 @@
         problem = f'record: {len(raw)} bytes, at most {MAX_RECORD_BYTES}'
         return InvalidRecord('', [problem])
     try:
-        document = json.loads(raw)
-    except ValueError as error:
+        document = load_json(raw)
+    except JsonError as error:
         return InvalidRecord('', [f'record: not JSON: {error}'])
     if not isinstance(document, dict):
         return InvalidRecord('', ['record: not a JSON object'])
--- /dev/null
+++ b/bergamotmount/tests/test_oddinput.py
@@ -0,0 +1,141 @@
+"""Odd input of others is rejected alone; all that is sound is still read."""
+
+import base64
+import json
+import unittest
+
+from bergamotmount.acceptance import (
+    AcceptedState,
+    StateError,
+    VerdictKind,
+    read_checkpoint,
+)
+from bergamotmount.clock import Clock, LoopClock
+from bergamotmount.forwarding.http import HttpRequest
+from bergamotmount.forwarding.httpconnection import (
+    HttpLimits,
+    HttpReply,
+    RemoteAddress,
+)
+from bergamotmount.forwarding.httpserver import HttpServer
+from bergamotmount.forwarding.policysource import PolicyError
+from bergamotmount.joining import _parse_address
+from bergamotmount.jsoninput import MAX_DEPTH, JsonError, load_json
+from bergamotmount.platform import names
+from bergamotmount.platform.control import ControlServer
+from bergamotmount.platform.crashrecord import parse_crashes
+from bergamotmount.platform.memberrecord import EntryError, parse_member
+from bergamotmount.platform.policyrecord import parse_record
+from bergamotmount.platform.store import PlatformStore
+from bergamotmount.records import InvalidRecord
+from bergamotmount.records import parse_record as parse_own_record
+from bergamotmount.tests.forwardingfixture import ForwardingFixture
+from bergamotmount.tests.test_platform import RECORD
+from bergamotmount.tests.test_routetable import policy
+from bergamotmount.tests.virtualtime import VirtualTestCase
+
+#: Nesting that no recursion limit allows, and that isn't even closed.
+DEEP = b'[' * 100_000
+
+#: The same in a field that nobody reads.
+DEEP_FIELD = b'"unread": ' + b'[' * 5000 + b']' * 5000
+
+
+def with_deep_field(document: object) -> bytes:
+    """Return a JSON object with an additional field that is deeply nested."""
+    packed = json.dumps(document).encode().removesuffix(b'}')
+    return b'%s, %s}' % (packed, DEEP_FIELD)
+
+
+class DeepNestingTest(VirtualTestCase):
+    """One deeply nested entry kept new nodes from being found (issue 40)."""
+
+    def test_entries_of_nodes_and_crashes(self):
+        sound = b'["10.0.0.1:7620","r","fd-1",17,3'
+        deep = sound + b',' + b'[' * 5000 + b']' * 5000 + b']'
+        for packed in (DEEP, deep):
+            with self.assertRaises(EntryError):
+                parse_member('n-1', packed)
+            with self.assertRaises(EntryError):
+                parse_crashes('crashes/7', packed)
+
+    def test_policy_record(self):
+        for record in (DEEP, with_deep_field(RECORD)):
+            with self.assertRaises(PolicyError):
+                parse_record(record)
+
+    async def test_announcement(self):
+        fixture = ForwardingFixture()
+        fixture.store.publish(policy())
+        control = ControlServer(fixture.add_host('a1', 'a').node, 'a1:80')
+        for body in (DEEP, with_deep_field({'address': 'a1:80'})):
+            reply = await control.handle_control(
+                HttpRequest('PUT', f'{names.INSTANCES_PATH}i-1', [], body),
+                RemoteAddress(''),
+            )
+            self.assertEqual(reply.status, 400)
+        fixture.close()
+
+    def test_records_of_the_own_interface(self):
+        deep = with_deep_field({'id': 'r' * 8})
+        for raw in (DEEP, deep):
+            self.assertIsInstance(parse_own_record(raw), InvalidRecord)
+            self.assertEqual(_parse_address(raw), '')
+            with self.assertRaises(StateError):
+                AcceptedState.from_bytes(raw)
+        self.assertIsNone(read_checkpoint(b'{"checkpoint":' + DEEP))
+        verdict = AcceptedState().apply(0, DEEP)
+        self.assertEqual(verdict.kind, VerdictKind.INVALID)
+
+    def test_all_nodes_judge_a_depth_alike(self):
+        """The recursion limit counts from the caller's own depth."""
+        for depth, is_read in ((MAX_DEPTH, True), (MAX_DEPTH + 1, False)):
+            raw = b'[' * depth + b']' * depth
+            if is_read:
+                self.assertIsInstance(load_json(raw), list)
+            else:
+                with self.assertRaises(JsonError):
+                    load_json(raw)
+
+
+class EntriesTest(unittest.IsolatedAsyncioTestCase):
+    """Sound entries in the store are found beside odd ones."""
+
+    async def asyncSetUp(self):
+        self.replies: list[HttpReply] = []
+        self.server = HttpServer(
+            LoopClock(), self.handle_request, HttpLimits(), self.fail
+        )
+        await self.server.start('127.0.0.1:0')
+        port = self.server._server.sockets[0].getsockname()[1]
+        self.store = PlatformStore(Clock(), f'127.0.0.1:{port}')
+
+    async def asyncTearDown(self):
+        self.server.close()
+
+    async def handle_request(self, _request: HttpRequest, _) -> HttpReply:
+        return self.replies.pop(0)
+
+    def add_page(self, *records: bytes, has_more: bool = False) -> None:
+        """Let the store answer a page of records, as written here."""
+        packed = b', '.join(records)
+        tail = b'], "end_offset": 9, "has_more": '
+        flag = b'true}' if has_more else b'false}'
+        body = b'{"items": [' + packed + tail + flag
+        self.replies.append(HttpReply(200, [], body))
+
+    async def found(self) -> list[str]:
+        """Return the nodes that are found."""
+        return [each.node for each in (await self.store.entries()).members]
+
+    async def test_deeply_nested_entry(self):
+        deep = b'["a:1","r","f",1,0,' + b'[' * 5000 + b']' * 5000 + b']'
+        self.add_page(record('bad', deep), record('b'))
+        self.assertEqual(await self.found(), ['b'])
+
+
+def record(key: str, packed: bytes = b'["10.0.0.1:1","r","f",6]') -> bytes:
+    """Return a record in a page, by default with a sound entry."""
+    encoded = base64.b64encode(packed).decode()
+    document = {'key': key, 'value': encoded, 'offset': 1}
+    return json.dumps(document).encode()
