Name the cause of an unexpected error in JSON lines of the log

The text format had it.

Change: such lines have `error`, the error itself, and `traceback`, its last 2,000 characters, so that one line stays bounded.

Evidence: CauseTest fails on (KeyError: 'error'), passes here.

--- a/bergamotmount/log.py
+++ b/bergamotmount/log.py
@@ -7,6 +7,8 @@
 
 prints ``... INFO policy: Policy up to offset 17 is active.`` or, in JSON
 format, one object per line with ``time``, ``level``, ``part`` and ``message``.
+A line on an unexpected error has its cause in ``error`` and where it was raised
+in ``traceback``.
 """
 
 import collections
@@ -21,6 +23,11 @@
 #: Maximum size of the lines that wait for a reader of the output.
 MAX_PENDING_BYTES = 256 * 1024
 
+#: Maximum length of a cause and of a traceback in a line, in characters. Of a
+#: traceback the end is kept.
+MAX_ERROR_CHARS = 300
+MAX_TRACEBACK_CHARS = 2000
+
 #: Number of bytes that a pipe takes at once if it is ready for any.
 _PIPE_BUF = select.PIPE_BUF
 
@@ -39,14 +46,17 @@
         handler: logbook.Handler,
     ) -> str:
         """Return the log line of one record."""
-        return json.dumps(
-            {
-                'time': f'{record.time.isoformat()}Z',
-                'level': record.level_name.lower(),
-                'part': record.channel,
-                'message': record.message,
-            }
-        )
+        line = {
+            'time': f'{record.time.isoformat()}Z',
+            'level': record.level_name.lower(),
+            'part': record.channel,
+            'message': record.message,
+        }
+        traceback = record.formatted_exception
+        if traceback:
+            line['error'] = repr(record.exc_info[1])[:MAX_ERROR_CHARS]
+            line['traceback'] = traceback[-MAX_TRACEBACK_CHARS:]
+        return json.dumps(line)
 
 
 class PendingLines:
--- a/bergamotmount/tests/test_log.py
+++ b/bergamotmount/tests/test_log.py
@@ -1,10 +1,20 @@
 """Tests of the log's output when its reader is slow or stops."""
 
+import asyncio
+import json
 import os
 import time
 import unittest
 
-from bergamotmount.log import PendingLines
+from bergamotmount.clock import LoopClock
+from bergamotmount.log import (
+    MAX_TRACEBACK_CHARS,
+    PendingLines,
+    part_logger,
+    start_logging,
+)
+from bergamotmount.supervision import keep_running
+from bergamotmount.tests.virtualtime import VirtualTestCase
 
 LINE = 'x' * 99 + '\n'
 MAX_BYTES = 10_000
@@ -60,3 +70,46 @@
         long_line = 'y' * 9000 + '\n'
         self.lines.append(long_line)
         self.assertEqual(self.read_all(), long_line)
+
+
+class CauseTest(VirtualTestCase):
+    """The line on a failed task named no cause in JSON (issue 40)."""
+
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        stream = os.fdopen(writer, 'w')
+        self.addCleanup(stream.close)
+        self.addCleanup(os.close, self.reader)
+        handler = start_logging('info', 'json', stream)
+        self.addCleanup(handler.pop_application)
+
+    def last_line(self) -> dict[str, str]:
+        lines = os.read(self.reader, 1 << 16).decode().splitlines()
+        return json.loads(lines[-1])
+
+    async def failure_line(self, error: Exception) -> dict[str, str]:
+        """Return the line on a task that fails."""
+
+        async def run_badly() -> None:
+            raise error
+
+        task = asyncio.create_task(keep_running(LoopClock(), run_badly))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        return self.last_line()
+
+    async def test_failed_task(self):
+        """Operators see what failed, and where, in one line."""
+        line = await self.failure_line(RecursionError('nested too deeply'))
+        self.assertEqual(line['error'], "RecursionError('nested too deeply')")
+        self.assertIn('in run_badly', line['traceback'])
+        self.assertIn('run_badly failed', line['message'])
+
+    async def test_long_traceback_is_cut(self):
+        """One error must not fill the output."""
+        line = await self.failure_line(ValueError('x' * MAX_TRACEBACK_CHARS))
+        self.assertEqual(len(line['traceback']), MAX_TRACEBACK_CHARS)
+
+    async def test_line_without_error(self):
+        part_logger('test').info('Fine.')
+        self.assertNotIn('error', self.last_line())
