Read all sound records of a page of the store beside odd ones

Cause: a page was decoded as a whole. A record without a value, with one that isn't base64, with a key that isn't text or an offset that is too large made all records of the page unreadable, each time it was read. The newest policy was looked for on the first page only, which holds 500 records or 1 MB at most.

Change: newestpage splits a page first and decodes each record alone; the offset of a single record, which nothing uses, is no longer read. A page that isn't text has its odd characters replaced, and the records with such keys are left out. All pages are read for the policy too; a page that comes again ends the reading, with a line, since a key may not be known in the form in which we read it.

--- a/bergamotmount/platform/store.py
+++ b/bergamotmount/platform/store.py
@@ -1,12 +1,9 @@
 """HTTP client of the platform's keyed store."""
 
-import base64
 import dataclasses
 import struct
 from urllib.parse import urlencode
 
-import msgspec
-
 from bergamotmount.clock import Clock
 from bergamotmount.forwarding.http import (
     HttpResponse,
@@ -26,7 +23,7 @@
     StoreEra,
     StorePage,
 )
-from bergamotmount.jsoninput import JsonError, decode_json
+from bergamotmount.jsoninput import JsonError
 from bergamotmount.log import part_logger
 from bergamotmount.member import Member
 from bergamotmount.platform import names
@@ -42,6 +39,7 @@
     pack_member,
     parse_member,
 )
+from bergamotmount.platform.newestpage import NewestPage, parse_newest_page
 from bergamotmount.ports import LogError
 from bergamotmount.reports import CrashReport
 
@@ -54,19 +52,6 @@
 _OFFSETS = struct.Struct('!QQ')
 
 
-class _KeyedRecord(msgspec.Struct):
-    key: str
-    offset: int
-    encoded: str = msgspec.field(name='value')
-
-
-class _NewestPage(msgspec.Struct):
-    end_offset: int
-    records: list[_KeyedRecord] = msgspec.field(name='items')
-    has_more: bool = False
-    era: int = 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
     """Answer of the store, and the era that it shows."""
@@ -75,9 +60,20 @@
     era: int
 
 
-_log = part_logger('store')
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Newest:
+    """Newest records of all keys.
+
+    Offset and era are those of the first page: what was written while the
+    others were read comes after them.
+    """
+
+    record_by_key: dict[str, bytes]
+    end_offset: int
+    era: int
+
 
-_newest_decoder = msgspec.json.Decoder(_NewestPage)
+_log = part_logger('store')
 
 
 class PlatformStore:
@@ -92,12 +88,9 @@
 
     async def newest_policy(self) -> StorePage:
         """Return the newest policy record, if there is one."""
-        newest = await self._read_newest(names.OPERATOR_TOPIC, '')
-        records = [
-            _decode_value(record)
-            for record in newest.records
-            if record.key == names.POLICY_KEY
-        ]
+        newest = await self._read_newest(names.OPERATOR_TOPIC)
+        record = newest.record_by_key.get(names.POLICY_KEY)
+        records = [] if record is None else [record]
         return StorePage(records, newest.end_offset, newest.era)
 
     async def follow_policy(self, offset: int, wait_ms: float) -> StorePage:
@@ -143,17 +136,15 @@
         """Return what nodes have published; skip what can't be read."""
         nodes: list[NodeEntry] = []
         crashes: list[CrashReport] = []
-        after = ''
-        has_more = True
-        while has_more:
-            newest = await self._read_newest(names.MEMBERS_TOPIC, after)
-            for record in newest.records:
-                try:
-                    _add_entry(nodes, crashes, record)
-                except (EntryError, LogError) as error:
-                    _log.warning('Entry of {} skipped: {}.', record.key, error)
-            has_more = newest.has_more and bool(newest.records)
-            after = newest.records[-1].key if has_more else ''
+        newest = await self._read_newest(names.MEMBERS_TOPIC)
+        for key, packed in newest.record_by_key.items():
+            try:
+                if is_crashes_key(key):
+                    crashes.extend(parse_crashes(key, packed))
+                else:
+                    nodes.append(parse_member(key, packed))
+            except EntryError as error:
+                _log.warning('Entry of {!r} skipped: {}.', key, error)
         return StoreEntries(
             [node.member for node in nodes],
             crashes,
@@ -170,18 +161,31 @@
         )
         _check_status(answer.response, names.LOG_APPEND_PATH)
 
-    async def _read_newest(self, topic: str, after: str) -> _NewestPage:
+    async def _read_newest(self, topic: str) -> _Newest:
+        """Return the newest records of a topic, read page by page."""
+        page, era = await self._read_newest_page(topic, '')
+        newest = _Newest(dict(page.record_by_key), page.end_offset, era)
+        keys_asked_for: set[str] = set()
+        while page.next_key and page.next_key not in keys_asked_for:
+            keys_asked_for.add(page.next_key)
+            page, _ = await self._read_newest_page(topic, page.next_key)
+            newest.record_by_key.update(page.record_by_key)
+        if page.next_key:
+            _log.warning('Records after {!r} not read.', page.next_key)
+        return newest
+
+    async def _read_newest_page(
+        self, topic: str, after: str
+    ) -> tuple[NewestPage, int]:
         query: dict[str, object] = {'topic': topic, 'part': 0}
         if after:
             query['after'] = after
         answer = await self._request('GET', names.LOG_NEWEST_PATH, query)
         _check_status(answer.response, names.LOG_NEWEST_PATH)
         try:
-            newest = decode_json(_newest_decoder.decode, answer.response.body)
+            return parse_newest_page(answer.response.body), answer.era
         except JsonError as error:
             raise LogError(f'{names.LOG_NEWEST_PATH}: {error}') from error
-        newest.era = answer.era
-        return newest
 
     async def _request(
         self,
@@ -229,23 +233,6 @@
         raise LogError(f'{path}: status {response.status}')
 
 
-def _add_entry(
-    nodes: list[NodeEntry], crashes: list[CrashReport], record: _KeyedRecord
-) -> None:
-    packed = _decode_value(record)
-    if is_crashes_key(record.key):
-        crashes.extend(parse_crashes(record.key, packed))
-    else:
-        nodes.append(parse_member(record.key, packed))
-
-
-def _decode_value(record: _KeyedRecord) -> bytes:
-    try:
-        return base64.b64decode(record.encoded, validate=True)
-    except ValueError as error:
-        raise LogError(f'record of {record.key}: {error}') from error
-
-
 def _parse_policy_page(page: bytes, offset: int, era: int) -> StorePage:
     try:
         end_offset, _ = _OFFSETS.unpack_from(page)
--- a/bergamotmount/tests/test_oddinput.py
+++ b/bergamotmount/tests/test_oddinput.py
@@ -133,6 +133,42 @@
         self.add_page(record('bad', deep), record('b'))
         self.assertEqual(await self.found(), ['b'])
 
+    async def test_odd_record_in_a_page(self):
+        """A record without a value hid all nodes of its page (issue 40)."""
+        for odd in (
+            b'{"key": "x", "offset": 1}',
+            b'{"key": "x", "value": null, "offset": 1}',
+            b'{"key": 7, "value": "", "offset": 1}',
+            b'{"key": "\xff", "value": "", "offset": 1}',
+            json.dumps({'key': 'x\udcff', 'value': ''}).encode(),
+            b'{"key": "x", "value": "no base64!", "offset": 1}',
+            b'[]',
+            b'null',
+        ):
+            with self.subTest(odd):
+                self.add_page(odd, record('a'), odd, has_more=True)
+                self.add_page(odd, record('b'), odd)
+                self.assertEqual(await self.found(), ['a', 'b'])
+
+    async def test_offset_that_is_too_large(self):
+        """Nothing needs the offset of a single record."""
+        self.add_page(b'{"key": "x", "value": "", "offset": 1e400}')
+        self.assertEqual(await self.found(), [])
+
+    async def test_pages_that_come_again(self):
+        """The store may not know a key in the form in which we read it."""
+        for _ in range(2):
+            self.add_page(record('a'), b'null', has_more=True)
+        self.assertEqual(await self.found(), ['a'])
+        self.assertEqual(self.replies, [])
+
+    async def test_policy_beside_odd_records_and_on_a_later_page(self):
+        """Nodes started without a policy beside many other records."""
+        self.add_page(b'{"key": "x"}', record('other'), has_more=True)
+        self.add_page(b'null', record('config', b'policy'))
+        page = await self.store.newest_policy()
+        self.assertEqual((page.records, page.next_offset), ([b'policy'], 9))
+
 
 def record(key: str, packed: bytes = b'["10.0.0.1:1","r","f",6]') -> bytes:
     """Return a record in a page, by default with a sound entry."""
