Use an entry in the store only if each of its fields can be used

Cause: an entry was checked for its types, "some digits" as a port (also those of other scripts) and one bound of one number only. Of crashes, a key that is a number in any spelling was taken, and any number of servers of any name.

Change: address.py tells what can be dialled; names are printable and at most 255 long; incarnation and settled era have bounds. No node can have settled an era that the store hasn't shown yet.

Tests: the entries of test_platform have IP addresses now, in place of "a:1". Hosts are named by IP address on the platform, and a name would be looked up.

--- a/bergamotmount/platform/memberrecord.py
+++ b/bergamotmount/platform/memberrecord.py
@@ -1,9 +1,15 @@
-"""Encodes the entry of a node in the platform's store."""
+"""Encodes the entry of a node in the platform's store.
+
+Another writer may have left anything there. An entry counts only if each of
+its fields can be used, since nodes pass it on to each other.
+"""
 
 import dataclasses
 
 import msgspec
 
+from bergamotmount.address import is_address
+from bergamotmount.forwarding.headers import is_header_text
 from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.member import Member
 
@@ -23,6 +29,13 @@
 #: Largest number that messages between nodes can carry.
 MAX_WIRE_INTEGER = 2**63 - 1
 
+#: Largest incarnation of a node: a Unix time of the far future, and still far
+#: from what messages can carry.
+MAX_INCARNATION = 2**62
+
+#: Maximum length of a name, in characters.
+MAX_NAME_CHARS = 255
+
 _decoder = msgspec.json.Decoder(_WireMember)
 
 
@@ -47,20 +60,19 @@
     )
 
 
-def parse_member(node: str, packed: bytes) -> NodeEntry:
+def parse_member(node: str, packed: bytes, era: int) -> NodeEntry:
     """Return the node that a record describes.
 
-    Raise :class:`EntryError` when the record isn't an entry of a node.
+    ``era`` is that of the store: no node can have taken a later one for
+    settled. Raise :class:`EntryError` when the record isn't an entry of a node.
     """
     try:
         wire = decode_json(_decoder.decode, packed)
     except JsonError as error:
         raise EntryError(str(error)) from error
-    host, _, port = wire.address.rpartition(':')
-    if not host or not port.isdecimal():
-        raise EntryError(f'{wire.address!r} is not an address')
-    if abs(wire.incarnation) > MAX_WIRE_INTEGER:
-        raise EntryError(f'incarnation {wire.incarnation} is too large')
+    problem = _find_problem(node, wire, era)
+    if problem:
+        raise EntryError(problem)
     member = Member(
         node,
         wire.address,
@@ -69,3 +81,20 @@
         wire.incarnation,
     )
     return NodeEntry(member, wire.settled_era)
+
+
+def is_name(text: str) -> bool:
+    """Return whether a text can name a node, a server or a failure domain."""
+    return len(text) <= MAX_NAME_CHARS and is_header_text(text)
+
+
+def _find_problem(node: str, wire: _WireMember, era: int) -> str:
+    if not all(map(is_name, (node, wire.region, wire.failure_domain))):
+        return 'a name is empty, too long or not printable'
+    if not is_address(wire.address):
+        return f'not an address: {wire.address[:MAX_NAME_CHARS]!r}'
+    if not 0 <= wire.incarnation <= MAX_INCARNATION:
+        return 'incarnation out of range'
+    if not 0 <= wire.settled_era <= era:
+        return f'settled era is not between 0 and {era}'
+    return ''
--- a/bergamotmount/platform/store.py
+++ b/bergamotmount/platform/store.py
@@ -142,7 +142,7 @@
                 if is_crashes_key(key):
                     crashes.extend(parse_crashes(key, packed))
                 else:
-                    nodes.append(parse_member(key, packed))
+                    nodes.append(parse_member(key, packed, newest.era))
             except EntryError as error:
                 _log.warning('Entry of {!r} skipped: {}.', key, error)
         return StoreEntries(
--- a/bergamotmount/tests/test_oddinput.py
+++ b/bergamotmount/tests/test_oddinput.py
@@ -23,8 +23,16 @@
 from bergamotmount.jsoninput import MAX_DEPTH, JsonError, load_json
 from bergamotmount.platform import names
 from bergamotmount.platform.control import ControlServer
-from bergamotmount.platform.crashrecord import parse_crashes
-from bergamotmount.platform.memberrecord import EntryError, parse_member
+from bergamotmount.platform.crashrecord import (
+    MAX_SERVERS,
+    crashes_key,
+    parse_crashes,
+)
+from bergamotmount.platform.memberrecord import (
+    EntryError,
+    NodeEntry,
+    parse_member,
+)
 from bergamotmount.platform.policyrecord import parse_record
 from bergamotmount.platform.store import PlatformStore
 from bergamotmount.records import InvalidRecord
@@ -55,7 +63,7 @@
         deep = sound + b',' + b'[' * 5000 + b']' * 5000 + b']'
         for packed in (DEEP, deep):
             with self.assertRaises(EntryError):
-                parse_member('n-1', packed)
+                parse_member('n-1', packed, 9)
             with self.assertRaises(EntryError):
                 parse_crashes('crashes/7', packed)
 
@@ -98,6 +106,78 @@
                     load_json(raw)
 
 
+class EntryFieldsTest(unittest.TestCase):
+    """An entry with one odd field names no node (issue 40)."""
+
+    def parse(self, node: str = 'n-1', **changes: object) -> NodeEntry:
+        """Return a sound entry of era 2, but for these changes."""
+        fields = {
+            'address': '10.0.0.1:7620',
+            'region': 'r',
+            'failure_domain': 'fd-1',
+            'incarnation': 17,
+            'settled_era': 1,
+            **changes,
+        }
+        return parse_member(node, json.dumps(list(fields.values())).encode(), 2)
+
+    def assert_rejected(self, changes: dict[str, object]) -> None:
+        with self.assertRaises(EntryError):
+            self.parse(**changes)
+
+    def test_sound_entry(self):
+        self.assertEqual(self.parse().member.address, '10.0.0.1:7620')
+        self.assertEqual(self.parse(address='::1:65535').settled_era, 1)
+
+    def test_odd_fields(self):
+        """Nodes dialled such ports, and passed the numbers on."""
+        odd_by_field = {
+            'address': (
+                '10.0.0.1:99999',
+                '10.0.0.1:0',
+                '10.0.0.1:-1',
+                '10.0.0.1:٣',
+                '10.0.0.1:' + '9' * 5000,
+                '10.0.0.1',
+                'somewhere:7620',
+                'a b:7620',
+                '\0:7620',
+                ':7620',
+                '',
+                7620,
+                None,
+            ),
+            'region': ('', ' r', 'a\nb', 'r' * 256, 7, None, []),
+            'failure_domain': ('', 'a\tb', 'f' * 256, 7, None, {}),
+            'incarnation': (-1, 2**62 + 1, 10**400, 1.5, '17', None, True),
+            'settled_era': (-1, 3, 2**70, 1.5, '1', None),
+        }
+        for field, odd_values in odd_by_field.items():
+            for odd in odd_values:
+                shown = repr(odd)[:40]
+                with self.subTest(f'{field} {shown}'):
+                    self.assert_rejected({field: odd})
+
+    def test_odd_names_of_nodes(self):
+        for node in ('', ' n', 'n\r\nX: 1', 'n' * 256):
+            with self.subTest(node[:20]), self.assertRaises(EntryError):
+                self.parse(node)
+
+    def test_era_that_no_node_can_have_settled(self):
+        """Keys withdrawn before a restore were accepted on its word."""
+        with self.assertRaises(EntryError):
+            self.parse(settled_era=10**6)
+
+    def test_odd_crashes(self):
+        for key in ('crashes/0x_1', 'crashes/-000000000000001', 'crashes/7'):
+            with self.subTest(key), self.assertRaises(EntryError):
+                parse_crashes(key, b'["i-1"]')
+        servers = ['', 'i-1', 'a\nb', 'i' * 256, *map(str, range(5000))]
+        reports = parse_crashes(crashes_key(7), json.dumps(servers).encode())
+        self.assertEqual(reports[0].server, 'i-1')
+        self.assertLessEqual(len(reports), MAX_SERVERS)
+
+
 class EntriesTest(unittest.IsolatedAsyncioTestCase):
     """Sound entries in the store are found beside odd ones."""
 
--- a/bergamotmount/tests/test_platform.py
+++ b/bergamotmount/tests/test_platform.py
@@ -419,13 +419,15 @@
         )
 
     async def test_members_are_read_from_all_pages(self):
-        self.add_member_page('a', b'["a:1","r","fd-1",5]', has_more=True)
-        self.add_member_page('b', b'["b:1","r","fd-2",6]', has_more=False)
+        self.add_member_page('a', b'["10.0.0.1:1","r","fd-1",5]', has_more=True)
+        self.add_member_page(
+            'b', b'["10.0.0.2:1","r","fd-2",6]', has_more=False
+        )
         self.assertEqual(
             (await self.store.entries()).members,
             [
-                Member('a', 'a:1', 'r', 'fd-1', 5),
-                Member('b', 'b:1', 'r', 'fd-2', 6),
+                Member('a', '10.0.0.1:1', 'r', 'fd-1', 5),
+                Member('b', '10.0.0.2:1', 'r', 'fd-2', 6),
             ],
         )
         self.assertIn('after=a', self.requests[1].target)
@@ -434,7 +436,9 @@
         """One bad entry in the store could hide all other nodes."""
         for bad in (b'\xff\xfe', b'10.0.0.1:7620', b'["x","r","f",1]', b'[]'):
             self.add_member_page('bad', bad, has_more=True)
-            self.add_member_page('b', b'["b:1","r","fd",6]', has_more=False)
+            self.add_member_page(
+                'b', b'["10.0.0.2:1","r","fd",6]', has_more=False
+            )
             members = (await self.store.entries()).members
             self.assertEqual([each.node for each in members], ['b'])
 
@@ -444,7 +448,7 @@
         self.add_member_page(key, pack_servers(['i-1', 'i-2']), has_more=True)
         self.add_member_page('crashes/x', b'["i-3"]', has_more=True)
         self.add_member_page(crashes_key(8), b'{"a": 1}', has_more=True)
-        self.add_member_page('b', b'["b:1","r","fd",6]', has_more=False)
+        self.add_member_page('b', b'["10.0.0.2:1","r","fd",6]', has_more=False)
         entries = await self.store.entries()
         self.assertEqual([each.node for each in entries.members], ['b'])
         self.assertEqual(
@@ -481,7 +485,7 @@
         for incarnation in (2**63, -(2**64), 2**80):
             packed = f'["10.0.0.1:7620","r","fd-1",{incarnation}]'
             with self.assertRaises(EntryError):
-                parse_member('n-1', packed.encode())
+                parse_member('n-1', packed.encode(), 0)
         for fingerprint in ('8000000000000000', 'ffffffffffffffffff', '-1'):
             with self.assertRaises(EntryError):
                 parse_crashes(f'crashes/{fingerprint}', b'["s"]')
