Reject announcements whose fields can't be those of a server

Cause: types were checked, and the bounds of the slots only.

The rejected values are no longer quoted in the log, where they could be of any length. A departure with an odd name is rejected too.

--- a/bergamotmount/platform/control.py
+++ b/bergamotmount/platform/control.py
@@ -1,5 +1,7 @@
 """HTTP handlers for the backend server's announcements and for readiness."""
 
+import time
+
 import msgspec
 
 from bergamotmount.forwarding.announcements import Announcement
@@ -12,10 +14,20 @@
 from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.log import part_logger
 from bergamotmount.platform import names
+from bergamotmount.platform.memberrecord import MAX_NAME_CHARS, is_name
 
 #: Upper bound of the slots of a server, well within a message's field.
 MAX_SLOTS = 1_000_000
 
+#: Upper bound of the sequence number of an announcement.
+MAX_SEQUENCE = 2**53
+
+#: Time by which a server's clock may be ahead when it states its start.
+MAX_CLOCK_LEAD_MS = 24 * 60 * 60 * 1000
+
+#: Upper bound of the time for which a server stays slow after its start.
+MAX_SLOW_START_S = 3600
+
 _MS_PER_SECOND = 1000
 _OK = 200
 _BAD_REQUEST = 400
@@ -71,6 +83,8 @@
         if not request.path.startswith(names.INSTANCES_PATH):
             return HttpReply(_NOT_FOUND)
         instance = request.path.removeprefix(names.INSTANCES_PATH)
+        if not is_name(instance):
+            return self._reject(instance, 'not the name of a server')
         match request.method:
             case 'PUT':
                 return self._announce(instance, request.body)
@@ -84,7 +98,7 @@
             announced = decode_json(_decoder.decode, body)
         except JsonError as error:
             return self._reject(instance, str(error))
-        problem = self._find_problem(announced)
+        problem = _find_odd_field(announced) or self._find_problem(announced)
         if problem:
             return self._reject(instance, problem)
         self._node.local_server.announce(
@@ -103,22 +117,36 @@
         return HttpReply(_OK, list(_JSON), b'{}')
 
     def _find_problem(self, announced: _AnnouncementBody) -> str:
-        if announced.status.state not in _STATES:
-            return f'unknown state {announced.status.state!r}'
         if announced.address != self._server_address:
-            return f'unexpected address {announced.address!r}'
-        slots = announced.server_info.slots
-        if not 1 <= slots <= MAX_SLOTS:
-            return f'{slots} slots, expected 1 to {MAX_SLOTS}'
+            return 'unexpected address'
         table = self._node.policy_source.table
         services = None if table is None else table.policy.service_by_name
         if (
             services is not None
             and announced.server_info.service not in services
         ):
-            return f'unknown service {announced.server_info.service!r}'
+            return 'unknown service'
         return ''
 
     def _reject(self, instance: str, problem: str) -> HttpReply:
-        _log.warning('Announcement of {} rejected: {}.', instance, problem)
+        shown = instance[:MAX_NAME_CHARS]
+        _log.warning('Announcement of {!r} rejected: {}.', shown, problem)
         return HttpReply(_BAD_REQUEST)
+
+
+def _find_odd_field(announced: _AnnouncementBody) -> str:
+    """Return what is wrong with an announcement, whoever makes it."""
+    status, server_info = announced.status, announced.server_info
+    latest_ms = time.time() * _MS_PER_SECOND + MAX_CLOCK_LEAD_MS
+    bounds = (
+        ('slots', server_info.slots, 1, MAX_SLOTS),
+        ('sequence', status.sequence, 0, MAX_SEQUENCE),
+        ('born', announced.born, 0, latest_ms),
+        ('cold_left_s', status.cold_left_s, 0, MAX_SLOW_START_S),
+    )
+    for name, number, minimum, maximum in bounds:
+        if not minimum <= number <= maximum:
+            return f'{name} is not between {minimum} and {maximum:.0f}'
+    if status.state not in _STATES:
+        return 'unknown state'
+    return '' if is_name(server_info.service) else 'service is not a name'
--- a/bergamotmount/tests/test_oddinput.py
+++ b/bergamotmount/tests/test_oddinput.py
@@ -178,6 +178,66 @@
         self.assertLessEqual(len(reports), MAX_SERVERS)
 
 
+class AnnouncementFieldsTest(VirtualTestCase):
+    """An odd announcement changes nothing (issue 40)."""
+
+    def make_node(self) -> None:
+        """Make a node without a policy, in the running event loop."""
+        fixture = ForwardingFixture()
+        self.addCleanup(fixture.close)
+        self.node = fixture.add_host('a1', 'a').node
+        self.control = ControlServer(self.node, 'a1:80')
+
+    async def send(
+        self, method: str, instance: str, body: dict | None = None
+    ) -> int:
+        path = f'{names.INSTANCES_PATH}{instance}'
+        packed = json.dumps(body).encode()
+        reply = await self.control.handle_control(
+            HttpRequest(method, path, [], packed), RemoteAddress('')
+        )
+        return reply.status
+
+    async def announce(self, instance: str = 'i-1', **changes: object) -> int:
+        """Announce a sound server, but for these changes."""
+        status = {'state': 'ready', 'sequence': 1, 'cold_left_s': 0}
+        server_info = {'service': 'a', 'slots': 4}
+        body: dict[str, object] = {'address': 'a1:80', 'born': 100}
+        for field, odd in changes.items():
+            owner = next(
+                (each for each in (status, server_info) if field in each), body
+            )
+            owner[field] = odd
+        document = {**body, 'status': status, 'info': server_info}
+        return await self.send('PUT', instance, document)
+
+    async def test_odd_fields_before_the_first_policy(self):
+        """A start in the far future outdated all that the server said."""
+        self.make_node()
+        odd_by_field = {
+            'address': ('b1:80', '', 7, None),
+            'born': (-1, 2**60, 10**400, 1.5, None),
+            'sequence': (-1, 2**53 + 1, 10**400, '1', None),
+            'cold_left_s': (-1, 3601, 10**308, '1', None),
+            'slots': (0, -1, 2**31, 10**400, 4.5),
+            'service': ('', 'a\nb', ' a', 'a' * 256, None, 7),
+            'state': ('', 'asleep', None, 7, []),
+        }
+        for field, odd_values in odd_by_field.items():
+            for odd in odd_values:
+                status = await self.announce(**{field: odd})
+                self.assertEqual(status, 400, f'{field} {odd!r}'[:60])
+        self.assertEqual(self.node.members.local.slots, 0)
+        self.assertEqual(await self.announce(), 200)
+        self.assertEqual(self.node.members.local.slots, 4)
+
+    async def test_odd_names_of_servers(self):
+        self.make_node()
+        for instance in ('', 'i' * 256, 'i\nx', ' i'):
+            self.assertEqual(await self.announce(instance), 400, instance[:9])
+            self.assertEqual(await self.send('DELETE', instance), 400)
+
+
 class EntriesTest(unittest.IsolatedAsyncioTestCase):
     """Sound entries in the store are found beside odd ones."""
 
