Reject a policy record with a field that no node can apply

Cause: types were checked, few bounds.

Change: the wire models state the bounds, so that the error names the field and quotes no value. A record is applied as a whole or not at all, as before; the policy before it stays in force, and without evidence on it keys are refused after their lease, as for any unreadable record. Quotas and priorities of organisations are cut to bounds that nobody reaches, rather than leaving an organisation without its keys.

--- a/bergamotmount/platform/policyrecord.py
+++ b/bergamotmount/platform/policyrecord.py
@@ -1,7 +1,12 @@
-"""Decodes the operators' policy record into a route policy."""
+"""Decodes the operators' policy record into a route policy.
+
+A record is one policy: it is applied as a whole or not at all. Only an
+organisation that can't be used is left out, so that the others keep their keys.
+"""
 
 import math
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
@@ -14,39 +19,59 @@
     ServicePolicy,
     WeightedService,
 )
-from bergamotmount.jsoninput import decode_json
+from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.log import part_logger
 from bergamotmount.organisations.organisation import Organisation, Quota
+from bergamotmount.platform.memberrecord import MAX_NAME_CHARS
+
+#: Largest version, far from what messages can carry.
+MAX_VERSION = 2**62
+
+#: Upper bounds of numbers in a record.
+MAX_TIMEOUT_S = 24 * 60 * 60
+MAX_BYTES = 2**40
+MAX_LEVEL = 1_000_000
+MAX_SERVERS = 1_000_000
+MAX_WEIGHT = 10**9
+MAX_QUOTA = 10**9
 
 _MS_PER_SECOND = 1000
 _HEX = 16
 _IDEMPOTENT = 'safe'
 
+#: Printable text without a space at either end.
+_TEXT = r'^[^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?\Z'
+
+_Name = Annotated[str, msgspec.Meta(pattern=_TEXT, max_length=MAX_NAME_CHARS)]
+_Path = Annotated[str, msgspec.Meta(pattern=r'^/[^\s\x00-\x1f\x7f]*\Z')]
+_Seconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_TIMEOUT_S)]
+_Bytes = Annotated[int, msgspec.Meta(ge=1, le=MAX_BYTES)]
+
 _log = part_logger('policy')
 
 
 class _WireWeightedService(msgspec.Struct):
-    service: str
-    weight: float
+    service: _Name
+    weight: Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 
 
 class _WireRoute(msgspec.Struct):
-    name: str
-    host: str
-    path_prefix: str
+    name: _Name
+    host: _Name
+    path_prefix: _Path
     route_type: str
-    timeout_s: float
-    priority: int = 0
-    max_attempts: int = 1
-    target_latency_s: float = math.inf
-    service: str = ''
+    timeout_s: _Seconds
+    priority: Annotated[int, msgspec.Meta(ge=0, le=MAX_LEVEL)] = 0
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=MAX_SERVERS)] = 1
+    target_latency_s: Annotated[float, msgspec.Meta(gt=0)] = math.inf
+    service: _Name | msgspec.UnsetType = msgspec.UNSET
     traffic_split: list[_WireWeightedService] = []
     public: bool = False
 
 
 class _WireService(msgspec.Struct):
-    name: str
-    health_path: str = '/'
+    name: _Name
+    health_path: _Path = '/'
 
 
 class _WireOrganisation(msgspec.Struct):
@@ -58,14 +83,14 @@
 
 
 class _WireLimits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: _Bytes
+    max_body_bytes: _Bytes
+    header_timeout_s: _Seconds
+    idle_timeout_s: _Seconds
 
 
 class _WireRecord(msgspec.Struct):
-    version: str
+    version: Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F]{1,16}\Z')]
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits
@@ -82,9 +107,11 @@
     """
     try:
         wire = decode_json(_decoder.decode, record)
-        version = int(wire.version, _HEX)
-    except ValueError as error:
+    except JsonError as error:
         raise PolicyError(str(error)) from error
+    version = int(wire.version, _HEX)
+    if version > MAX_VERSION:
+        raise PolicyError('version is too large')
     return RoutePolicy(
         version,
         tuple(_route_from_wire(route) for route in wire.routes),
@@ -112,9 +139,12 @@
         WeightedService(weighted.service, weighted.weight)
         for weighted in wire.traffic_split
     )
-    split = split or (WeightedService(wire.service, 1),)
-    if not all(weighted.service for weighted in split):
-        raise PolicyError(f'route {wire.name} names no service')
+    if not split:
+        if wire.service is msgspec.UNSET:
+            raise PolicyError(f'route {wire.name!r} names no service')
+        split = (WeightedService(wire.service, 1),)
+    if not any(weighted.weight for weighted in split):
+        raise PolicyError(f'route {wire.name!r} weighs all services 0')
     return Route(
         name=wire.name,
         host=wire.host.lower(),
@@ -161,6 +191,8 @@
     return Organisation(
         name=wire.name,
         keys=tuple(wire.api_keys),
-        level=max(wire.priority, 0),
-        quota=Quota(wire.rate_per_s, wire.burst) if has_limit else None,
+        level=min(max(wire.priority, 0), MAX_LEVEL),
+        quota=Quota(min(wire.rate_per_s, MAX_QUOTA), min(wire.burst, MAX_QUOTA))
+        if has_limit
+        else None,
     )
--- a/bergamotmount/tests/test_oddinput.py
+++ b/bergamotmount/tests/test_oddinput.py
@@ -19,6 +19,7 @@
 )
 from bergamotmount.forwarding.httpserver import HttpServer
 from bergamotmount.forwarding.policysource import PolicyError
+from bergamotmount.forwarding.routetable import RoutePolicy
 from bergamotmount.joining import _parse_address
 from bergamotmount.jsoninput import MAX_DEPTH, JsonError, load_json
 from bergamotmount.platform import names
@@ -33,7 +34,7 @@
     NodeEntry,
     parse_member,
 )
-from bergamotmount.platform.policyrecord import parse_record
+from bergamotmount.platform.policyrecord import MAX_LEVEL, parse_record
 from bergamotmount.platform.store import PlatformStore
 from bergamotmount.records import InvalidRecord
 from bergamotmount.records import parse_record as parse_own_record
@@ -238,6 +239,80 @@
             self.assertEqual(await self.send('DELETE', instance), 400)
 
 
+class PolicyFieldsTest(unittest.TestCase):
+    """A policy that no node can apply leaves the one before in force."""
+
+    def parse(self, **changes: object) -> RoutePolicy:
+        return parse_record(json.dumps({**RECORD, **changes}).encode())
+
+    def assert_rejected(self, field: str, **changes: object) -> None:
+        """Check that a record with these changes is rejected for a field."""
+        with self.assertRaises(PolicyError) as caught:
+            self.parse(**changes)
+        self.assertIn(field, str(caught.exception))
+
+    def test_odd_versions(self):
+        """A heartbeat with such a version couldn't be encoded any more."""
+        for odd in ('', '-1', '0x1', '1_0', ' 1', 'f' * 16, 'f' * 5000, 7):
+            with self.subTest(str(odd)[:20]):
+                self.assert_rejected('version', version=odd)
+        self.assertEqual(self.parse(version='0000000c').version, 12)
+
+    def test_odd_fields_of_routes(self):
+        odd_by_field = {
+            'name': ('', ' r', 'a\nb', 'r' * 256, 7, None),
+            'host': ('', 'a b\r', None),
+            'path_prefix': ('', 'a/', '/a b/', '/a\n', None),
+            'timeout_s': (0, -1, 10**308, 10**400, '1', None),
+            'priority': (-1, 10**30, 10**400, 1.5, None),
+            'max_attempts': (0, -1, 10**30, 10**400, None),
+            'target_latency_s': (0, -1, 10**400, None),
+            'service': ('', 'a\r\nX: 1', 7, None),
+            'traffic_split': (None, 7, [{}], [7]),
+            'public': (None, 1, 'true'),
+        }
+        sound = RECORD['routes'][0]
+        for field, odd_values in odd_by_field.items():
+            for odd in odd_values:
+                routes = [{**sound, field: odd}]
+                with self.subTest(f'{field} {odd!r}'[:40]):
+                    self.assert_rejected(field, routes=routes)
+
+    def test_odd_weights(self):
+        """Weights are divided by their sum."""
+        sound = RECORD['routes'][1]
+        too_large = ((10**308, 1), (10**400, 1))
+        for weights in ((0, 0), (-1, 2), *too_large):
+            split = [{'service': 'a', 'weight': each} for each in weights]
+            odd = {**sound, 'traffic_split': split}
+            with self.subTest(str(weights)[:20]):
+                self.assert_rejected('weigh', routes=[odd])
+
+    def test_odd_limits_and_services(self):
+        """Timeouts below 0 would close each connection at once."""
+        for field in RECORD['limits']:
+            for odd in (0, -1, 10**30, 10**400, None, '1'):
+                limits = {**RECORD['limits'], field: odd}
+                with self.subTest(f'{field} {odd!r}'[:40]):
+                    self.assert_rejected(field, limits=limits)
+        for path in ('', 'h', '/a b', '/\r\nX: 1', 7):
+            services = [{'name': 'a', 'health_path': path}]
+            with self.subTest(path):
+                self.assert_rejected('health_path', services=services)
+
+    def test_quota_without_bounds(self):
+        """Tokens are whole numbers; infinitely many aren't."""
+        odd = {
+            'name': 'a',
+            'rate_per_s': 10**308,
+            'burst': 10**308,
+            'priority': 10**400,
+        }
+        organisation = self.parse(tenants=[odd]).organisations[0]
+        self.assertLess(organisation.quota.allowed_in(10**6), 2**62)
+        self.assertEqual(organisation.level, MAX_LEVEL)
+
+
 class EntriesTest(unittest.IsolatedAsyncioTestCase):
     """Sound entries in the store are found beside odd ones."""
 
