Drop an odd message of a peer alone, and each odd part of it

One member of an unknown state, or with a port out of range, lost all sound members of its heartbeat. Fields beyond their bounds were used: a version of 2^63 - 1 of this node made its own next version one that no message carries; negative held tokens let others hold more than the quota; a header with a line break was written into a request or response; 100,000 digests asked for as many in each reply.

Cause: the codec checked presence and types, and a message was a part of its connection's framing rather than of its own.

Change: frames are still checked as before (length, checksum, compression) and end their connection. A message that can't be used is dropped and counted. Of a heartbeat, members and reports that can't be used are left out and counted, but for the sender, without whom nothing can be used. Reports never lose an answer. fieldchecks holds the checks that entries, records and messages share. A node that would have to refute the largest version takes the next incarnation.

Ruled out: thrift's decoder bounds nesting also in unread fields.

--- a/bergamotmount/membership.py
+++ b/bergamotmount/membership.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 
 from bergamotmount.clock import Clock
+from bergamotmount.fieldchecks import MAX_VERSION
 from bergamotmount.member import GONE, Member, MemberState
 from bergamotmount.tabledigest import digest_of
 
@@ -171,10 +172,12 @@
 
     def _refute(self, update: Member) -> Member:
         local = self.local
+        incarnation = max(local.incarnation, update.incarnation)
+        version = max(local.version, update.version) + 1
+        if version > MAX_VERSION:
+            incarnation, version = min(incarnation + 1, MAX_VERSION), 0
         refuted = dataclasses.replace(
-            local,
-            incarnation=max(local.incarnation, update.incarnation),
-            version=max(local.version, update.version) + 1,
+            local, incarnation=incarnation, version=version
         )
         self._store(refuted)
         return refuted
--- a/bergamotmount/messages.py
+++ b/bergamotmount/messages.py
@@ -104,7 +104,8 @@
 
     ``sent_ms`` is the time on the sender's clock, which a reply repeats as
     ``echoed_ms``. ``evidence`` is what the sender knows of the newest policy.
-    Each is ``None`` if there is none.
+    Each is ``None`` if there is none. ``omitted`` is how many members and
+    reports of a received heartbeat couldn't be used.
     """
 
     sequence: int
@@ -124,6 +125,7 @@
     sent_ms: float | None = None
     echoed_ms: float | None = None
     evidence: PolicyEvidence | None = None
+    omitted: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/bergamotmount/platform/control.py
+++ b/bergamotmount/platform/control.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bergamotmount.fieldchecks import MAX_NAME_CHARS, is_name
 from bergamotmount.forwarding.announcements import Announcement
 from bergamotmount.forwarding.http import HttpRequest
 from bergamotmount.forwarding.httpconnection import (
@@ -14,7 +15,6 @@
 from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.log import part_logger
 from bergamotmount.platform import names
-from bergamotmount.platform.memberrecord import MAX_NAME_CHARS, is_name
 
 #: Upper bound of the slots of a server, well within a message's field.
 MAX_SLOTS = 1_000_000
--- a/bergamotmount/platform/crashrecord.py
+++ b/bergamotmount/platform/crashrecord.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
+from bergamotmount.fieldchecks import is_name
 from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.platform.memberrecord import (
     MAX_WIRE_INTEGER,
     EntryError,
-    is_name,
 )
 from bergamotmount.reports import CrashReport
 
--- a/bergamotmount/platform/memberrecord.py
+++ b/bergamotmount/platform/memberrecord.py
@@ -8,8 +8,12 @@
 
 import msgspec
 
-from bergamotmount.address import is_address
-from bergamotmount.forwarding.headers import is_header_text
+from bergamotmount.fieldchecks import (
+    MAX_NAME_CHARS,
+    MAX_VERSION,
+    is_address,
+    is_name,
+)
 from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.member import Member
 
@@ -29,12 +33,6 @@
 #: Largest number that messages between nodes can carry.
 MAX_WIRE_INTEGER = 2**63 - 1
 
-#: Largest incarnation of a node: a Unix time of the far future, and still far
-#: from what messages can carry.
-MAX_INCARNATION = 2**62
-
-#: Maximum length of a name, in characters.
-MAX_NAME_CHARS = 255
 
 _decoder = msgspec.json.Decoder(_WireMember)
 
@@ -83,17 +81,12 @@
     return NodeEntry(member, wire.settled_era)
 
 
-def is_name(text: str) -> bool:
-    """Return whether a text can name a node, a server or a failure domain."""
-    return len(text) <= MAX_NAME_CHARS and is_header_text(text)
-
-
 def _find_problem(node: str, wire: _WireMember, era: int) -> str:
     if not all(map(is_name, (node, wire.region, wire.failure_domain))):
         return 'a name is empty, too long or not printable'
     if not is_address(wire.address):
         return f'not an address: {wire.address[:MAX_NAME_CHARS]!r}'
-    if not 0 <= wire.incarnation <= MAX_INCARNATION:
+    if not 0 <= wire.incarnation <= MAX_VERSION:
         return 'incarnation out of range'
     if not 0 <= wire.settled_era <= era:
         return f'settled era is not between 0 and {era}'
--- a/bergamotmount/platform/policyrecord.py
+++ b/bergamotmount/platform/policyrecord.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bergamotmount.fieldchecks import MAX_NAME_CHARS, MAX_VERSION, PRINTABLE
 from bergamotmount.forwarding.headers import is_header_text
 from bergamotmount.forwarding.policysource import PolicyError
 from bergamotmount.forwarding.routetable import (
@@ -22,10 +23,6 @@
 from bergamotmount.jsoninput import JsonError, decode_json
 from bergamotmount.log import part_logger
 from bergamotmount.organisations.organisation import Organisation, Quota
-from bergamotmount.platform.memberrecord import MAX_NAME_CHARS
-
-#: Largest version, far from what messages can carry.
-MAX_VERSION = 2**62
 
 #: Upper bounds of numbers in a record.
 MAX_TIMEOUT_S = 24 * 60 * 60
@@ -39,10 +36,9 @@
 _HEX = 16
 _IDEMPOTENT = 'safe'
 
-#: Printable text without a space at either end.
-_TEXT = r'^[^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?\Z'
-
-_Name = Annotated[str, msgspec.Meta(pattern=_TEXT, max_length=MAX_NAME_CHARS)]
+_Name = Annotated[
+    str, msgspec.Meta(pattern=PRINTABLE, max_length=MAX_NAME_CHARS)
+]
 _Path = Annotated[str, msgspec.Meta(pattern=r'^/[^\s\x00-\x1f\x7f]*\Z')]
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_TIMEOUT_S)]
 _Bytes = Annotated[int, msgspec.Meta(ge=1, le=MAX_BYTES)]
--- a/bergamotmount/tablesync.py
+++ b/bergamotmount/tablesync.py
@@ -13,6 +13,7 @@
 from bergamotmount.member import Member
 from bergamotmount.membership import Members
 from bergamotmount.tabledigest import (
+    MAX_BUCKETS,
     bucket_digests,
     differing_buckets,
     members_in,
@@ -50,11 +51,11 @@
 
     def digests(self, like: Sequence[int] = ()) -> list[int]:
         """Return digests of the table's parts, as many as a peer has sent."""
-        return bucket_digests(self._table(), len(like))
+        return bucket_digests(self._table(), min(len(like), MAX_BUCKETS))
 
     def differing_members(self, digests: Sequence[int]) -> list[Member]:
         """Return the members of the parts that differ at a peer."""
-        if not digests:
+        if not digests or len(digests) > MAX_BUCKETS:
             return []
         self._has_compared = True
         buckets = differing_buckets(self._table(), digests)
--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -2,13 +2,15 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable
+import re
+from collections.abc import Callable, Sequence
 from typing import TypeVar
 
 from thrift.protocol import fastbinary
 from thrift.transport.TTransport import TMemoryBuffer
 
 from bergamotmount import messages
+from bergamotmount.fieldchecks import MAX_VERSION, is_address, is_name
 from bergamotmount.member import Member, MemberState
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
@@ -21,6 +23,13 @@
 #: Maximum number of elements in a list that is decoded.
 MAX_LIST_ELEMENTS = 100_000
 
+_MIN_STATUS = 200
+_MAX_STATUS = 599
+
+#: What would end a header, and a method or target, in a request or response.
+_header_break = re.compile(r'[\r\n\0]')
+_word_break = re.compile(r'[\x00-\x20\x7f]')
+
 
 class FrameKind(enum.IntEnum):
     """Kind of a frame: the thrift struct in its payload."""
@@ -104,19 +113,19 @@
     return messages.Call(
         reportcodec.require_field(wire.attempt),
         reportcodec.require_field(wire.root),
-        reportcodec.require_field(wire.rank),
+        reportcodec.require_amount(wire.rank),
         reportcodec.require_field(wire.remaining_ms),
-        reportcodec.require_field(wire.tokens),
+        reportcodec.amount_or_zero(wire.tokens),
         reportcodec.require_field(wire.service_name),
         reportcodec.require_field(wire.operation),
-        reportcodec.require_field(wire.method),
-        reportcodec.require_field(wire.headers),
+        _require_word(wire.method),
+        _require_headers(wire.headers),
         reportcodec.require_field(wire.body),
         wire.ticket or '',
         reportcodec.require_field(wire.idempotent),
-        wire.depth or 0,
-        wire.target or '',
-        wire.tries or 0,
+        reportcodec.amount_or_zero(wire.depth),
+        _require_word(wire.target or ''),
+        reportcodec.amount_or_zero(wire.tries),
         reportcodec.threshold_or_admit_all(wire.entry_threshold),
         bool(wire.is_repeat),
     )
@@ -159,11 +168,11 @@
     return messages.Answer(
         attempt=reportcodec.require_field(wire.attempt),
         outcome=_outcome_from_wire(wire),
-        tokens=wire.tokens or 0,
-        threshold=reportcodec.require_field(wire.threshold),
+        tokens=reportcodec.amount_or_zero(wire.tokens),
+        threshold=reportcodec.threshold_or_admit_all(wire.threshold),
         thresholds=reportcodec.thresholds_from_wire(wire.thresholds),
-        load_permille=wire.load_permille or 0,
-        service_ms=wire.service_ms or 0,
+        load_permille=reportcodec.amount_or_zero(wire.load_permille),
+        service_ms=reportcodec.amount_or_zero(wire.service_ms),
         demand=reportcodec.demand_from_wire(wire),
         needs=wire.needs or [],
         crashes=reportcodec.crashes_from_wire(wire.crashes),
@@ -174,15 +183,17 @@
 def _outcome_from_wire(wire: ttypes.Answer) -> Outcome:
     match wire.outcome:
         case _WireOutcome.ANSWERED:
+            if not _MIN_STATUS <= wire.status <= _MAX_STATUS:
+                raise FrameError(DropReason.FRAME_MALFORMED)
             return Answered(
-                reportcodec.require_field(wire.status),
-                reportcodec.require_field(wire.headers),
+                wire.status,
+                _require_headers(wire.headers),
                 reportcodec.require_field(wire.body),
             )
         case _WireOutcome.NOT_RUN:
             return NotRun(
                 _reason_from_wire(RefusalReason, wire.reason),
-                wire.retry_after_ms or 0,
+                reportcodec.amount_or_zero(wire.retry_after_ms),
                 wire.ticket or '',
                 wire.detail or '',
                 bool(wire.may_return),
@@ -193,6 +204,22 @@
             raise FrameError(DropReason.FRAME_MALFORMED)
 
 
+def _require_word(text: str | None) -> str:
+    """Return a method or a target, which must not hold white space."""
+    word = reportcodec.require_field(text)
+    if _word_break.search(word):
+        raise FrameError(DropReason.FRAME_MALFORMED)
+    return word
+
+
+def _require_headers(headers: list[str] | None) -> list[str]:
+    """Return names and values of headers, which must stay one line each."""
+    is_paired = len(reportcodec.require_field(headers)) % 2 == 0
+    if not is_paired or _header_break.search(' '.join(headers)):
+        raise FrameError(DropReason.FRAME_MALFORMED)
+    return headers
+
+
 def _reason_from_wire(
     reason_type: type[_ReasonType], name: str | None
 ) -> _ReasonType:
@@ -219,7 +246,7 @@
 
 
 def _member_from_wire(wire: ttypes.Member) -> Member:
-    return Member(
+    member = Member(
         reportcodec.require_field(wire.node),
         reportcodec.require_field(wire.address),
         reportcodec.require_field(wire.region),
@@ -228,9 +255,28 @@
         reportcodec.require_field(wire.version),
         MemberState(wire.state),
         wire.service_name or '',
-        wire.slots or 0,
+        reportcodec.amount_or_zero(wire.slots),
         wire.admin or '',
     )
+    if not _is_usable(member):
+        raise FrameError(DropReason.FRAME_MALFORMED)
+    return member
+
+
+def _is_usable(member: Member) -> bool:
+    """Return whether a member can be dialled and passed on."""
+    names = [member.node, member.region, member.failure_domain]
+    addresses = [member.address]
+    if member.service:
+        names.append(member.service)
+    if member.admin:
+        addresses.append(member.admin)
+    versions = (member.incarnation, member.version)
+    return (
+        all(map(is_name, names))
+        and all(map(is_address, addresses))
+        and all(0 <= number <= MAX_VERSION for number in versions)
+    )
 
 
 def _heartbeat_to_wire(heartbeat: messages.Heartbeat) -> ttypes.Heartbeat:
@@ -256,23 +302,40 @@
 
 
 def _heartbeat_from_wire(wire: ttypes.Heartbeat) -> messages.Heartbeat:
-    return messages.Heartbeat(
+    """Return a heartbeat without what can't be used of it.
+
+    Its first member is the sender; without it nothing can be used.
+    """
+    heartbeat = messages.Heartbeat(
         sequence=reportcodec.require_field(wire.sequence),
         reply=reportcodec.require_field(wire.reply),
-        members=[_member_from_wire(member) for member in wire.members or ()],
+        members=_members_from_wire(wire.members or ()),
         digest=reportcodec.require_field(wire.digest),
         policy_offset=reportcodec.require_field(wire.policy_offset),
-        threshold=reportcodec.require_field(wire.threshold),
+        threshold=reportcodec.threshold_or_admit_all(wire.threshold),
         thresholds=reportcodec.thresholds_from_wire(wire.thresholds),
-        load_permille=wire.load_permille or 0,
+        load_permille=reportcodec.amount_or_zero(wire.load_permille),
         buckets=wire.buckets or [],
         release=wire.release or '',
         calls=reportcodec.calls_from_wire(wire.calls),
         crashes=reportcodec.crashes_from_wire(wire.crashes),
-        sent_ms=wire.sent_ms,
-        echoed_ms=wire.echoed_ms,
+        sent_ms=reportcodec.finite_or_none(wire.sent_ms),
+        echoed_ms=reportcodec.finite_or_none(wire.echoed_ms),
         evidence=reportcodec.evidence_from_wire(wire),
     )
+    for received, used in (
+        (wire.members, heartbeat.members),
+        (wire.thresholds, heartbeat.thresholds),
+        (wire.calls, heartbeat.calls),
+        (wire.crashes, heartbeat.crashes),
+    ):
+        heartbeat.omitted += len(received or ()) - len(used)
+    return heartbeat
+
+
+def _members_from_wire(wires: Sequence[ttypes.Member]) -> list[Member]:
+    sender = [_member_from_wire(wire) for wire in wires[:1]]
+    return sender + reportcodec.usable(_member_from_wire, wires[1:])
 
 
 def _quota_request_from_wire(wire: ttypes.QuotaRequest) -> messages.Message:
@@ -280,9 +343,9 @@
         reportcodec.require_field(wire.sequence),
         reportcodec.require_field(wire.organisation),
         reportcodec.require_field(wire.node),
-        wire.waiting or 0,
-        wire.wanted or 0,
-        wire.held or 0,
+        reportcodec.amount_or_zero(wire.waiting),
+        reportcodec.amount_or_zero(wire.wanted),
+        reportcodec.amount_or_zero(wire.held),
     )
 
 
@@ -290,8 +353,8 @@
     return messages.QuotaGrant(
         reportcodec.require_field(wire.sequence),
         reportcodec.require_field(wire.organisation),
-        reportcodec.require_field(wire.tokens),
-        wire.retry_after_ms or 0,
+        reportcodec.amount_or_zero(wire.tokens),
+        reportcodec.amount_or_zero(wire.retry_after_ms),
         bool(wire.is_owner),
     )
 
@@ -389,6 +452,3 @@
     FrameKind.QUOTA_REQUEST: (ttypes.QuotaRequest, _quota_request_from_wire),
     FrameKind.QUOTA_GRANT: (ttypes.QuotaGrant, _quota_grant_from_wire),
 }
-
-#: Kinds of the frames that :func:`decode` accepts.
-KNOWN_KINDS = frozenset(_DECODERS)
--- a/bergamotmount/wire/tcp.py
+++ b/bergamotmount/wire/tcp.py
@@ -5,10 +5,10 @@
 from collections.abc import Awaitable, Callable
 
 from bergamotmount.counters import Counters
-from bergamotmount.messages import Message
+from bergamotmount.messages import Heartbeat, Message
 from bergamotmount.ports import ChannelError
 from bergamotmount.reasons import DropReason
-from bergamotmount.wire.codec import KNOWN_KINDS, decode, encode
+from bergamotmount.wire.codec import decode, encode
 from bergamotmount.wire.compression import (
     COMPRESSED_FLAG,
     FrameCompressor,
@@ -66,7 +66,8 @@
     def data_received(self, received: bytes) -> None:
         """Decode messages; an invalid frame closes the connection.
 
-        A frame of an unknown kind comes from a later release; it is dropped.
+        A frame that holds no message of this release is dropped alone: calls
+        in flight on the connection go on.
         """
         try:
             for kind, payload in self._splitter.feed(received):
@@ -143,10 +144,15 @@
             self._transport.abort()
 
     def _decode(self, kind: int, payload: bytes) -> None:
-        if kind in KNOWN_KINDS:
-            self._messages.append(decode(kind, payload))
-        else:
-            self._counters.dropped(DropReason.FRAME_KIND)
+        """Queue a message; drop one that can't be used, and go on."""
+        try:
+            message = decode(kind, payload)
+        except FrameError as error:
+            self._counters.dropped(error.reason)
+            return
+        if isinstance(message, Heartbeat) and message.omitted:
+            self._counters.dropped(DropReason.MESSAGE_PART)
+        self._messages.append(message)
 
     def _fail(self, error: FrameError) -> None:
         self._counters.dropped(error.reason)
