Keep a link whose message can't be encoded, or whose address can't be dialled

A port out of range raised OverflowError in the task that opens a connection.

Change: the channel reports such a message, names the cause in the log, counts it and raises UnsendableError; its connection goes on. A call ends as not sent, an answer as lost, since its request may have run. Errors of dialling are all ChannelError.

Evidence: on test_message_that_cannot_be_encoded, test_port_out_of_range and both tests of UnsendableTest fail; here they pass. With the checks of fields nothing that was read from others is known to get here; this is for what isn't known.

--- a/bergamotmount/link.py
+++ b/bergamotmount/link.py
@@ -26,6 +26,7 @@
     Lost,
     NotSent,
     Reply,
+    UnsendableError,
 )
 from bergamotmount.reasons import DropReason
 
@@ -155,6 +156,9 @@
         self._add_pending(pending)
         try:
             connection.channel.send(call)
+        except UnsendableError:
+            self._remove_pending(pending)
+            return NotSent()
         except ChannelError:
             self._remove_pending(pending)
             self._close_connection(connection)
@@ -169,6 +173,8 @@
             return False
         try:
             connection.channel.send(message)
+        except UnsendableError:
+            return False
         except ChannelError:
             self._close_connection(connection)
             return False
--- a/bergamotmount/ports.py
+++ b/bergamotmount/ports.py
@@ -17,6 +17,10 @@
     """A channel couldn't be opened, or it was closed."""
 
 
+class UnsendableError(ChannelError):
+    """The message can't be encoded; the channel is as it was."""
+
+
 class LogError(Exception):
     """The log service gave no valid answer; an append may have succeeded."""
 
@@ -27,7 +31,8 @@
     def send(self, message: Message) -> None:
         """Queue a message for sending, without waiting.
 
-        Raise :class:`ChannelError` when the connection is known to be closed.
+        Raise :class:`ChannelError` when the connection is known to be closed,
+        and :class:`UnsendableError` for a message that can't be encoded.
         """
 
     async def receive(self) -> Message:
--- a/bergamotmount/reasons.py
+++ b/bergamotmount/reasons.py
@@ -96,6 +96,7 @@
     FRAME_KIND = 'frame_kind'
     FRAME_MALFORMED = 'frame_malformed'
     MESSAGE_PART = 'message_part'
+    UNSENDABLE = 'unsendable'
     SILENT_CONNECTION = 'silent_connection'
     MALFORMED_REQUEST = 'malformed_request'
     STRAY_RESPONSE = 'stray_response'
--- a/bergamotmount/serving.py
+++ b/bergamotmount/serving.py
@@ -1,6 +1,7 @@
 """Server side of peer connections: one task for each connection."""
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable
 
@@ -15,7 +16,7 @@
     Ping,
 )
 from bergamotmount.outcomes import Answered, Unknown
-from bergamotmount.ports import Channel, ChannelError
+from bergamotmount.ports import Channel, ChannelError, UnsendableError
 from bergamotmount.reasons import DropReason, UnknownReason
 
 _log = part_logger('peers')
@@ -83,8 +84,7 @@
             case Ping():
                 channel.send(Ping(reply=True))
             case _:
-                for reply in self._handle(message):
-                    channel.send(reply)
+                _send_replies(channel, self._handle(message))
 
     def _handle(self, message: Message) -> list[Message]:
         """Return the replies to a message, none if it can't be handled."""
@@ -98,7 +98,7 @@
     async def _run_call(self, channel: Channel, call: Call) -> None:
         self._active_calls += 1
         try:
-            channel.send(await self._answer(call))
+            _send_answer(channel, await self._answer(call))
         except ChannelError:
             return
         finally:
@@ -111,7 +111,7 @@
         except Exception:
             _log.exception('Call of request {} failed.', call.root)
             self._counters.dropped(DropReason.INTERNAL_ERROR)
-            return Answer(call.attempt, Unknown(UnknownReason.ANSWER_LOST))
+            return _answer_lost(call.attempt)
         if not _fits_message(answer):
             # It would end the connection, and all calls on it.
             too_large = Unknown(UnknownReason.ANSWER_TOO_LARGE)
@@ -119,6 +119,25 @@
         return answer
 
 
+def _answer_lost(attempt: int) -> Answer:
+    """Return the answer to a call that may have run."""
+    return Answer(attempt, Unknown(UnknownReason.ANSWER_LOST))
+
+
+def _send_answer(channel: Channel, answer: Answer) -> None:
+    try:
+        channel.send(answer)
+    except UnsendableError:
+        channel.send(_answer_lost(answer.attempt))
+
+
+def _send_replies(channel: Channel, replies: list[Message]) -> None:
+    for reply in replies:
+        # The channel reports what can't be encoded.
+        with contextlib.suppress(UnsendableError):
+            channel.send(reply)
+
+
 def _fits_message(answer: Answer) -> bool:
     outcome = answer.outcome
     return not (
--- a/bergamotmount/tests/test_oddmessages.py
+++ b/bergamotmount/tests/test_oddmessages.py
@@ -12,10 +12,11 @@
 from bergamotmount import messages
 from bergamotmount.clock import LoopClock
 from bergamotmount.fieldchecks import MAX_VERSION
+from bergamotmount.link import Link
 from bergamotmount.member import Member, MemberState
 from bergamotmount.membership import Members
-from bergamotmount.outcomes import Answered, NotRun
-from bergamotmount.ports import ChannelError
+from bergamotmount.outcomes import Answered, NotRun, Unknown
+from bergamotmount.ports import ChannelError, NotSent, UnsendableError
 from bergamotmount.reasons import DropReason, RefusalReason
 from bergamotmount.reports import (
     CrashReport,
@@ -24,10 +25,12 @@
     PolicyEvidence,
     ThresholdReport,
 )
+from bergamotmount.serving import PeerServer
 from bergamotmount.tabledigest import MAX_BUCKETS
 from bergamotmount.tablesync import TableSync
 from bergamotmount.tests.fakes import RecordingCounters
 from bergamotmount.tests.test_codec import CALL, MEMBER, MESSAGES
+from bergamotmount.tests.test_link import ScriptedChannel, ScriptedDialer, call
 from bergamotmount.tests.virtualtime import VirtualTestCase
 from bergamotmount.wire.codec import FrameKind, decode, encode
 from bergamotmount.wire.frames import FrameError, pack_frame
@@ -210,6 +213,77 @@
         self.assertEqual(self.received[0].members, [MEMBER])
         self.assertEqual(self.counters.counts[DropReason.MESSAGE_PART], 1)
 
+    async def test_message_that_cannot_be_encoded(self):
+        """It raised out of tasks of the node, and ended connections."""
+        for message in (
+            messages.PolicyFetch(2**63),
+            dataclasses.replace(CALL, root='\ud800'),
+            dataclasses.replace(CALL, tokens=2**15),
+            dataclasses.replace(CALL, attempt=None, rank='x'),
+        ):
+            with self.assertRaises(UnsendableError):
+                self.channel.send(message)
+        self.channel.send(messages.Ping())
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.received, [messages.Ping()])
+        self.assertEqual(self.counters.counts[DropReason.UNSENDABLE], 4)
+
+    async def test_port_out_of_range(self):
+        """The error of the system was not the one that a link expects."""
+        for address in ('127.0.0.1:99999', '127.0.0.1:-1', '127.0.0.1:x'):
+            with self.assertRaises(ChannelError):
+                await TcpDialer(self.counters).open(address)
+
+
+class UnsendableTest(VirtualTestCase):
+    """What can't be encoded costs neither its link nor other calls."""
+
+    async def test_call_and_message(self):
+        dialer = ScriptedDialer()
+        link = Link(
+            LoopClock(),
+            dialer,
+            '10.0.0.1:1',
+            RecordingCounters(),
+            lambda _address, _message: None,
+        )
+        pending = asyncio.create_task(link.call(call(1)))
+        await asyncio.sleep(0.01)
+        channel = dialer.channels[0]
+        channel.send = self.raise_unsendable
+        self.assertIsInstance(await link.call(call(2)), NotSent)
+        self.assertFalse(await link.send(messages.Ping()))
+        self.assertTrue(link.is_open)
+        channel.answer(1)
+        self.assertIsInstance(await pending, messages.Answer)
+        link.close()
+
+    async def test_answer(self):
+        """The caller is told that its request may have run."""
+        channel = ScriptedChannel()
+        send = channel.send
+
+        def send_unless_answered(message: messages.Message) -> None:
+            if isinstance(message.outcome, Answered):
+                self.raise_unsendable(message)
+            send(message)
+
+        channel.send = send_unless_answered
+
+        async def answer(received: messages.Call) -> messages.Answer:
+            return messages.Answer(received.attempt, ANSWER.outcome)
+
+        server = PeerServer(answer, lambda _: [], RecordingCounters())
+        serving = asyncio.create_task(server.serve(channel))
+        channel.inbox.put_nowait(call(1))
+        await asyncio.sleep(0.1)
+        self.assertIsInstance(channel.sent[0].outcome, Unknown)
+        self.assertEqual(server.active_calls, 0)
+        serving.cancel()
+
+    def raise_unsendable(self, _message: messages.Message) -> None:
+        raise UnsendableError
+
 
 class BoundsTest(VirtualTestCase):
     """Numbers at their bounds don't leave a node without a way out."""
--- a/bergamotmount/wire/tcp.py
+++ b/bergamotmount/wire/tcp.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import collections
+import struct
 from collections.abc import Awaitable, Callable
 
 from bergamotmount.counters import Counters
+from bergamotmount.log import part_logger
 from bergamotmount.messages import Heartbeat, Message
-from bergamotmount.ports import ChannelError
+from bergamotmount.ports import ChannelError, UnsendableError
 from bergamotmount.reasons import DropReason
-from bergamotmount.wire.codec import decode, encode
+from bergamotmount.wire.codec import FrameKind, decode, encode
 from bergamotmount.wire.compression import (
     COMPRESSED_FLAG,
     FrameCompressor,
@@ -27,6 +29,8 @@
 #: Messages waiting for :meth:`TcpChannel.receive` above which reading pauses.
 MAX_QUEUED_MESSAGES = 256
 
+_log = part_logger('links')
+
 
 def _ignore_open(_channel: 'TcpChannel') -> None:
     """Ignore that a channel has been opened."""
@@ -103,7 +107,8 @@
     def send(self, message: Message) -> None:
         """Append a message to the transport's write buffer.
 
-        Raise :class:`ChannelError` when the connection is closed. A
+        Raise :class:`ChannelError` when the connection is closed, and
+        :class:`UnsendableError` when the message can't be encoded. A
         connection with too many unsent bytes is closed.
         """
         if self._transport.is_closing():
@@ -111,7 +116,7 @@
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.close()
             raise ChannelError('connection closed: peer does not read')
-        kind, payload = encode(message)
+        kind, payload = self._encode(message)
         frame_kind = int(kind)
         if self._compressor is not None:
             frame_kind |= COMPRESSED_FLAG
@@ -143,6 +148,15 @@
         if not self._transport.is_closing():
             self._transport.abort()
 
+    def _encode(self, message: Message) -> tuple[FrameKind, bytes]:
+        try:
+            return encode(message)
+        except (ValueError, OverflowError, TypeError, struct.error) as error:
+            self._counters.dropped(DropReason.UNSENDABLE)
+            name = type(message).__name__
+            _log.exception('Message {} cannot be encoded.', name)
+            raise UnsendableError(name) from error
+
     def _decode(self, kind: int, payload: bytes) -> None:
         """Queue a message; drop one that can't be used, and go on."""
         try:
@@ -201,7 +215,7 @@
                 host,
                 int(port),
             )
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise ChannelError(f'cannot connect to {address}') from error
         if self._should_compress(address):
             channel.start_compressing()
