Don't take evidence on the policy that is dated in the future

A reply to a heartbeat repeats the time at which it was asked.

Change: a time that hasn't come on this node's clock is no evidence. (Negative ages and times that aren't numbers are dropped by the codec already.)

Evidence: test_evidence_of_the_future fails on (verified at 10^15 ms).

--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -162,11 +162,13 @@
         """Use what a peer replied to a message sent at ``asked_ms``.
 
         It holds for the active policy too, unless that is older. The reply
-        was written after the message was sent.
+        was written after the message was sent. A time that hasn't come yet is
+        no time of this node's clock.
         """
         if evidence is None or asked_ms is None:
             return
-        if evidence.version <= self.version:
+        is_past = asked_ms <= self._clock.now_ms()
+        if is_past and evidence.version <= self.version:
             self._freshness.record(asked_ms - evidence.age_ms)
 
     def fetch_if_behind(self, version: int) -> list[Message]:
--- a/bergamotmount/tests/test_oddmessages.py
+++ b/bergamotmount/tests/test_oddmessages.py
@@ -29,6 +29,7 @@
 from bergamotmount.tabledigest import MAX_BUCKETS
 from bergamotmount.tablesync import TableSync
 from bergamotmount.tests.fakes import RecordingCounters
+from bergamotmount.tests.forwardingfixture import make_forwarding_fixture
 from bergamotmount.tests.test_codec import CALL, MEMBER, MESSAGES
 from bergamotmount.tests.test_link import ScriptedChannel, ScriptedDialer, call
 from bergamotmount.tests.virtualtime import VirtualTestCase
@@ -307,3 +308,13 @@
         digests = list(range(100_000))
         self.assertEqual(sync.differing_members(digests), [])
         self.assertEqual(len(sync.digests(digests)), MAX_BUCKETS)
+
+    async def test_evidence_of_the_future(self):
+        """Withdrawn keys would be accepted until that time had come."""
+        fixture = await make_forwarding_fixture()
+        source = fixture.host_by_name['a1'].node.policy_source
+        verified_ms = source._freshness.verified_ms
+        for asked_ms in (10.0**15, math.inf, math.nan):
+            source.learn_evidence(PolicyEvidence(source.version, 0), asked_ms)
+            self.assertEqual(source._freshness.verified_ms, verified_ms)
+        fixture.close()
