Don't fetch a policy record again that was rejected

A peer of another release may hold a record that this one rejects. Each of its heartbeats names a newer version, so each made this node fetch the record, reject it and log that, about twice a second and peer.

Change: the version of a rejected record is remembered, and only a newer one is fetched. The store is read as before.

--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -87,6 +87,7 @@
         self._freshness = freshness
         self._settlement = settlement
         self._has_unreadable_record = False
+        self._rejected_version = -1
         self._position: _Position | None = None
         self._rng = rng
         self._failures = 0
@@ -172,8 +173,12 @@
             self._freshness.record(asked_ms - evidence.age_ms)
 
     def fetch_if_behind(self, version: int) -> list[Message]:
-        """Return a fetch request if a peer reports a newer version."""
-        return [PolicyFetch(self.version)] if version > self.version else []
+        """Return a fetch request if a peer reports a newer version.
+
+        What was rejected once isn't fetched again.
+        """
+        known = max(self.version, self._rejected_version)
+        return [PolicyFetch(self.version)] if version > known else []
 
     def answer_fetch(self, fetch: PolicyFetch) -> list[Message]:
         """Return the active record for a peer, if the peer is behind."""
@@ -184,6 +189,8 @@
     def install_state(self, state: PolicyState) -> None:
         """Install the record of a peer if it is valid and newer."""
         self.apply_record(state.state, 'peer')
+        if self.version < state.offset:
+            self._rejected_version = max(state.offset, self._rejected_version)
 
     def apply_record(self, record: bytes, source: str) -> None:
         """Activate a record if it is valid and newer."""
--- a/bergamotmount/tests/test_oddmessages.py
+++ b/bergamotmount/tests/test_oddmessages.py
@@ -318,3 +318,14 @@
             source.learn_evidence(PolicyEvidence(source.version, 0), asked_ms)
             self.assertEqual(source._freshness.verified_ms, verified_ms)
         fixture.close()
+
+    async def test_rejected_record_is_not_fetched_again(self):
+        """Each heartbeat of a peer that holds one asked for it once more."""
+        fixture = await make_forwarding_fixture()
+        source = fixture.host_by_name['a1'].node.policy_source
+        version = source.version + 5
+        self.assertEqual(len(source.fetch_if_behind(version)), 1)
+        source.install_state(messages.PolicyState(version, b'unreadable'))
+        self.assertEqual(source.fetch_if_behind(version), [])
+        self.assertEqual(len(source.fetch_if_behind(version + 1)), 1)
+        fixture.close()
