Report odd settings as problems of their fields; ignore all that isn't read

Cause: the file was decoded as a whole, addresses and names were taken as any text, and numbers had no bounds but that they are finite.

Change: bytes that are no text only matter in fields that are read; lines end with line feeds only, so that a separator of Unicode can't start another field. Names, addresses, ports and numbers have checks; each problem names its field, once, and shows 80 characters of its value at most.

--- a/bergamotmount/fieldchecks.py
+++ b/bergamotmount/fieldchecks.py
@@ -18,8 +18,11 @@
 #: messages between nodes can carry more.
 MAX_VERSION = 2**62
 
+#: What is not printable, and what stands for bytes that are no text.
+_UNPRINTABLE = r'\x00-\x1f\x7f\ufffd'
+
 #: Pattern of printable text without a space at either end.
-PRINTABLE = r'^[^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?\Z'
+PRINTABLE = rf'^[^\s{_UNPRINTABLE}]([^{_UNPRINTABLE}]*[^\s{_UNPRINTABLE}])?\Z'
 
 _MAX_PORT_DIGITS = 5
 
--- a/bergamotmount/platform/settings.py
+++ b/bergamotmount/platform/settings.py
@@ -1,14 +1,23 @@
 """Settings file of the platform: lines ``table.field=value``.
 
-Unknown fields are ignored. All errors in known fields are reported together.
+Unknown fields are ignored, whatever they hold. All errors in known fields are
+reported together.
 """
 
 import dataclasses
+import ipaddress
 import math
 
+from bergamotmount.fieldchecks import is_address, is_name, is_port
 from bergamotmount.organisations.quotaowner import QuotaOptions
 from bergamotmount.settingserror import SettingsError
 
+#: Maximum length of a rejected value in a message, in characters.
+MAX_SHOWN_CHARS = 80
+
+#: Upper bound of a time and of other numbers, beyond any that can be meant.
+MAX_NUMBER = 10**9
+
 _MS_PER_SECOND = 1000
 
 
@@ -64,11 +73,12 @@
 def read_platform_settings(path: str) -> PlatformSettings:
     """Read a settings file; raise :class:`SettingsError` if it is invalid."""
     try:
-        with open(path, encoding='utf-8') as settings_file:
-            lines = settings_file.read().splitlines()
-    except (OSError, UnicodeDecodeError) as error:
+        with open(path, 'rb') as settings_file:
+            packed = settings_file.read()
+    except (OSError, ValueError) as error:
         raise SettingsError([f'{path}: {error}']) from error
-    return parse_platform_settings(lines)
+    # Only a field that is read needs to be text.
+    return parse_platform_settings(packed.decode(errors='replace').split('\n'))
 
 
 def parse_platform_settings(lines: list[str]) -> PlatformSettings:
@@ -77,34 +87,34 @@
     Raise :class:`SettingsError` with all problems if there are any.
     """
     fields = _Fields(lines)
-    ip = fields.text('local_node.ip')
+    ip = fields.ip('local_node.ip')
     first_port = fields.first_port('network.port_range')
     settings = PlatformSettings(
-        node=fields.text('local_node.node_name'),
+        node=fields.name('local_node.node_name'),
         ip=ip,
-        region=fields.text('local_node.region'),
-        failure_domain=fields.text('local_node.zone'),
-        service=fields.text('local_node.service'),
-        server_address=fields.text('local_node.app_addr'),
-        caller_address=fields.text('network.listen_addrs.outbound'),
-        ready_address=fields.text('network.listen_addrs.ready'),
-        control_address=fields.text('network.listen_addrs.control'),
+        region=fields.name('local_node.region'),
+        failure_domain=fields.name('local_node.zone'),
+        service=fields.name('local_node.service'),
+        server_address=fields.address('local_node.app_addr'),
+        caller_address=fields.address('network.listen_addrs.outbound'),
+        ready_address=fields.address('network.listen_addrs.ready'),
+        control_address=fields.address('network.listen_addrs.control'),
         peer_address=f'{ip}:{first_port}',
         metrics_address=f'{ip}:{first_port + 1}',
-        store_address=fields.text('platform.platform.address'),
-        announce_interval_ms=fields.seconds('platform.heartbeat_s'),
-        termination_grace_ms=fields.seconds('terms.bounds.grace_s'),
+        store_address=fields.address('platform.platform.address'),
+        announce_interval_ms=fields.interval('platform.heartbeat_s'),
+        termination_grace_ms=fields.interval('terms.bounds.grace_s'),
         retry_ratio=fields.number('terms.bounds.retry_budget_ratio'),
-        retry_window_ms=fields.seconds('terms.bounds.budget_window_s'),
+        retry_window_ms=fields.interval('terms.bounds.budget_window_s'),
         retry_slack=fields.number('terms.bounds.retry_budget_slack'),
         is_first_start=fields.flag('local_node.bootstrap'),
         key_withdrawal_ms=(
-            fields.seconds('terms.bounds.revoke_s')
+            fields.interval('terms.bounds.revoke_s')
             if fields.flag('terms.bounds.revoke_strict')
             else math.inf
         ),
         quota=QuotaOptions(
-            fields.seconds('terms.bounds.quota_window_s', default='5'),
+            fields.interval('terms.bounds.quota_window_s', default='5'),
             fields.number('terms.bounds.quota_overage', default='0'),
             fields.number('terms.bounds.quota_slack', default='0'),
         ),
@@ -131,30 +141,66 @@
             self.problems.append(f'{name}: not set')
         return text
 
+    def name(self, name: str) -> str:
+        text = self.text(name)
+        self._require(name, is_name(text), 'printable text')
+        return text
+
+    def address(self, name: str) -> str:
+        text = self.text(name)
+        self._require(name, is_address(text), 'an address such as 10.0.0.1:80')
+        return text
+
+    def ip(self, name: str) -> str:
+        text = self.text(name)
+        self._require(name, _is_ip(text), 'an IP address')
+        return text
+
     def flag(self, name: str) -> bool:
         text = self._text_by_name.get(name, 'false')
-        if text not in {'true', 'false'}:
-            self.problems.append(f'{name}: {text!r} is not true or false')
+        self._require(name, text in {'true', 'false'}, 'true or false')
         return text == 'true'
 
     def number(self, name: str, default: str = '') -> float:
         text = self.text(name, default)
-        try:
-            number = float(text)
-        except ValueError:
-            number = math.nan
-        if not math.isfinite(number):
-            if text:
-                self.problems.append(f'{name}: {text!r} is not a number')
-            return 0
-        return number
-
-    def seconds(self, name: str, default: str = '') -> float:
-        return self.number(name, default) * _MS_PER_SECOND
+        number = _to_number(text)
+        is_valid = 0 <= number <= MAX_NUMBER
+        self._require(name, is_valid, f'a number from 0 to {MAX_NUMBER}')
+        return number if is_valid else 0
+
+    def interval(self, name: str, default: str = '') -> float:
+        """Return a time in milliseconds, stated in seconds."""
+        number = self.number(name, default)
+        self._require(name, number > 0, 'a number of seconds above 0')
+        return number * _MS_PER_SECOND
 
     def first_port(self, name: str) -> int:
         first, _, last = self.text(name).partition(',')
-        if first.isdecimal() and last.isdecimal() and int(first) < int(last):
+        if is_port(first) and is_port(last) and int(first) < int(last):
             return int(first)
-        self.problems.append(f'{name}: not a port range such as 7620,7635')
+        self._require(name, False, 'a port range such as 7620,7635')
         return 0
+
+    def _require(self, name: str, is_valid: bool, expected: str) -> None:
+        """Report a field that is set and isn't what is expected, once."""
+        text = self._text_by_name.get(name, '')
+        is_reported = any(each.startswith(f'{name}:') for each in self.problems)
+        if not is_valid and not is_reported:
+            shown = text[:MAX_SHOWN_CHARS]
+            self.problems.append(f'{name}: {shown!r} is not {expected}')
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _to_number(text: str) -> float:
+    """Return a number, NaN for any other text."""
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
