Bound and check what the own interface reads from its log

A page that doesn't lead on was read without a pause, for good. A checkpoint that claims to cover records to come made a node that was behind wait for them for good. An address that is none was dialled. A verdict kept ids and problems of any length, a thousand of them. A peer's state that can't be read was dropped without a line.

Change: each is an error of the kind that its reader expects, or bounded. Records that were accepted before still are, in any encoding, so that nodes of two releases reach the same state.

The ports of the settings file were rejected before, and the message is now the same for each.

--- a/bergamotmount/acceptance.py
+++ b/bergamotmount/acceptance.py
@@ -21,6 +21,19 @@
 #: Maximum number of verdicts stored for operators and to detect duplicates.
 MAX_VERDICTS = 1000
 
+#: Maximum length of the detail of a verdict, in characters.
+MAX_DETAIL_CHARS = 2000
+
+#: What the conversion of a malformed state raises.
+_MALFORMED = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
 _CHECKPOINT = 'checkpoint'
 _CHECKPOINT_START = b'{"checkpoint"'
 
@@ -123,7 +136,7 @@
         """
         try:
             return cls._from_document(decode_json(json.loads, raw))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except _MALFORMED as error:
             raise StateError(f'not an accepted state: {error}') from error
 
     def to_checkpoint(self) -> bytes:
@@ -164,11 +177,12 @@
     def _decide(self, offset: int, raw: bytes) -> Verdict:
         match records.parse_record(raw):
             case records.InvalidRecord(record_id, problems):
-                detail = '; '.join(problems)
+                detail = '; '.join(problems)[:MAX_DETAIL_CHARS]
                 kind = VerdictKind.INVALID
                 return Verdict(offset, kind, record_id, detail=detail)
             case records.NewerRecord() as newer:
-                return self._decide_newer(offset, newer, raw.decode())
+                text = raw.decode(json.detect_encoding(raw))
+                return self._decide_newer(offset, newer, text)
             case record:
                 return self._decide_valid(offset, record)
 
--- a/bergamotmount/adapters/log.py
+++ b/bergamotmount/adapters/log.py
@@ -13,6 +13,9 @@
 
 _MS_PER_SECOND = 1000
 
+#: What the conversion of a malformed answer raises.
+_MALFORMED = (KeyError, TypeError, ValueError, OverflowError)
+
 
 class HttpLog:
     """Client of the log service.
@@ -39,7 +42,7 @@
         document = await self._request('POST', stream, data=body)
         try:
             return int(document['offset'])
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             raise LogError('append: no offset in the answer') from error
 
     async def read(
@@ -59,9 +62,12 @@
             params={'from': str(from_offset), 'wait_ms': str(int(wait_ms))},
         )
         try:
-            return _parse_page(document)
-        except (KeyError, TypeError, ValueError) as error:
+            page = _parse_page(document)
+        except _MALFORMED as error:
             raise LogError('read: no page in the answer') from error
+        if page.records and page.next_offset <= from_offset:
+            raise LogError('read: the page does not lead on')
+        return page
 
     async def _request(
         self,
--- a/bergamotmount/distribution.py
+++ b/bergamotmount/distribution.py
@@ -20,6 +20,7 @@
 from bergamotmount.clock import Clock
 from bergamotmount.follower import POLICY_STREAM, Follower
 from bergamotmount.hashing import hash64
+from bergamotmount.log import part_logger
 from bergamotmount.membership import Members
 from bergamotmount.messages import (
     Message,
@@ -30,6 +31,8 @@
 from bergamotmount.policy import Policy
 from bergamotmount.ports import LogError, LogService
 
+_log = part_logger('policy')
+
 #: Number of nodes in each failure domain that poll the log.
 READERS_PER_DOMAIN = 2
 
@@ -125,7 +128,8 @@
         """Install the complete state of a peer if it is newer."""
         try:
             state = AcceptedState.from_bytes(message.state)
-        except StateError:
+        except StateError as error:
+            _log.warning('State of a peer rejected: {}.', error)
             return
         self._notify_changes([], self._follower.install_state(state))
 
--- a/bergamotmount/follower.py
+++ b/bergamotmount/follower.py
@@ -70,6 +70,9 @@
     def _restore_from_checkpoint(self, page: LogPage) -> None:
         for record in page.records:
             state = read_checkpoint(record.body)
-            if state is not None and state.offset >= page.first_kept - 1:
+            if state is None or state.offset >= record.offset:
+                # A checkpoint is written after the records that it covers.
+                continue
+            if state.offset >= page.first_kept - 1:
                 self.install_state(state)
                 return
--- a/bergamotmount/joining.py
+++ b/bergamotmount/joining.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from bergamotmount.clock import Clock
+from bergamotmount.fieldchecks import is_address
 from bergamotmount.jsoninput import load_json
 from bergamotmount.membership import Members
 from bergamotmount.ports import LogError, LogService
@@ -81,12 +82,15 @@
                 return addresses - {self._members.local.address, ''}
             self._next_offset = page.next_offset
             addresses.update(
-                _parse_address(record.body) for record in page.records
+                parse_address(record.body) for record in page.records
             )
 
 
-def _parse_address(raw: bytes) -> str:
+def parse_address(raw: bytes) -> str:
+    """Return the address in an entry, empty if it can't be dialled."""
     try:
-        return str(load_json(raw)['address'])
+        address = load_json(raw)['address']
     except (ValueError, KeyError, TypeError):
         return ''
+    is_usable = isinstance(address, str) and is_address(address)
+    return address if is_usable else ''
--- a/bergamotmount/records.py
+++ b/bergamotmount/records.py
@@ -21,6 +21,9 @@
 #: Maximum size of a record.
 MAX_RECORD_BYTES = 256 << 10
 
+#: Maximum length of the id of a record, in characters.
+MAX_ID_CHARS = 64
+
 #: Maximum length of a rejected value quoted in a problem, in characters.
 MAX_QUOTED_LENGTH = 80
 
@@ -114,7 +117,7 @@
     schema_version: Annotated[int, pydantic.Field(alias='schema', ge=1)]
     record_id: Annotated[
         str,
-        pydantic.Field(alias='id', min_length=8, max_length=64),
+        pydantic.Field(alias='id', min_length=8, max_length=MAX_ID_CHARS),
     ]
     subject: Annotated[str, pydantic.Field(pattern=_SUBJECT_PATTERN)]
     based_on: Annotated[int, pydantic.Field(ge=0)] | None
@@ -171,7 +174,7 @@
     document: dict[str, object],
 ) -> Record | InvalidRecord | NewerRecord:
     """Validate a record that is already parsed from JSON."""
-    record_id = str(document.get('id', ''))
+    record_id = str(document.get('id', ''))[:MAX_ID_CHARS]
     schema = document.get('schema')
     if isinstance(schema, int) and schema > NEWEST_SCHEMA:
         return _parse_newer(record_id, schema, document)
--- a/bergamotmount/settings.py
+++ b/bergamotmount/settings.py
@@ -11,6 +11,7 @@
 
 import pydantic
 
+from bergamotmount.fieldchecks import is_port
 from bergamotmount.settingserror import SettingsError
 
 #: Defaults by section and option; options without a default are required.
@@ -43,7 +44,6 @@
     'log': {'level': 'info', 'format': 'text'},
 }
 
-_MAX_PORT = 65_535
 _MIN_KEY_LENGTH = 16
 _MAX_KEY_LENGTH = 64
 
@@ -56,7 +56,8 @@
         raise ValueError(
             'an IP address and a port such as 127.0.0.1:7301'
         ) from None
-    if not separator or not port.isdecimal() or int(port) > _MAX_PORT:
+    is_any_port = separator and port == '0'
+    if not is_any_port and not is_port(port):
         raise ValueError('a port from 0 to 65535 after the IP address')
     return text
 
--- a/bergamotmount/tests/test_oddinput.py
+++ b/bergamotmount/tests/test_oddinput.py
@@ -20,7 +20,7 @@
 from bergamotmount.forwarding.httpserver import HttpServer
 from bergamotmount.forwarding.policysource import PolicyError
 from bergamotmount.forwarding.routetable import RoutePolicy
-from bergamotmount.joining import _parse_address
+from bergamotmount.joining import parse_address
 from bergamotmount.jsoninput import MAX_DEPTH, JsonError, load_json
 from bergamotmount.platform import names
 from bergamotmount.platform.control import ControlServer
@@ -89,7 +89,7 @@
         deep = with_deep_field({'id': 'r' * 8})
         for raw in (DEEP, deep):
             self.assertIsInstance(parse_own_record(raw), InvalidRecord)
-            self.assertEqual(_parse_address(raw), '')
+            self.assertEqual(parse_address(raw), '')
             with self.assertRaises(StateError):
                 AcceptedState.from_bytes(raw)
         self.assertIsNone(read_checkpoint(b'{"checkpoint":' + DEEP))
