Let a node advertise another address than the one that it listens on

A proxy or a translated address could not stand between nodes: each node told the others the address that it listens on.

Change: `--advertise IP:PORT` on the platform's daemon; an address that is none is reported as a problem of the settings.

--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -12,6 +12,7 @@
 
 from bergamotmount.adapters.plaincounters import PlainCounters
 from bergamotmount.clock import Clock
+from bergamotmount.fieldchecks import is_address
 from bergamotmount.forwarding.httpconnection import (
     Handler,
     HttpLimits,
@@ -69,6 +70,7 @@
     arguments = _parser().parse_args()
     try:
         settings = read_platform_settings(arguments.config)
+        advertised = check_advertised(arguments.advertise)
     except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         sys.exit(EXIT_SETTINGS)
@@ -76,7 +78,9 @@
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     try:
-        daemon = PlatformDaemon(settings, arguments.config, log.lines)
+        daemon = PlatformDaemon(
+            settings, arguments.config, log.lines, advertised
+        )
         uvloop.run(daemon.run())
     except OSError as error:
         _log.error('Cannot listen: {}.', error)
@@ -87,9 +91,17 @@
     """The node of this process, with its listeners."""
 
     def __init__(
-        self, settings: PlatformSettings, path: str, log_lines: PendingLines
+        self,
+        settings: PlatformSettings,
+        path: str,
+        log_lines: PendingLines,
+        advertised: str = '',
     ) -> None:
-        """Create the node; ``path`` is the file read again on SIGHUP."""
+        """Create the node; ``path`` is the file read again on SIGHUP.
+
+        Other nodes are told to connect to ``advertised``, or by default to
+        the address at which this node listens for them.
+        """
         self._settings = settings
         self._path = path
         clock = Clock()
@@ -106,7 +118,7 @@
             rng,
         )
         self.node = ForwardingNode(
-            _local_member(settings),
+            _local_member(settings, advertised or settings.peer_address),
             _options(settings),
             ports,
         )
@@ -171,13 +183,27 @@
         metavar='FILE',
         help=f'settings; by default the file that {CONFIG_VARIABLE} names',
     )
+    parser.add_argument(
+        '--advertise',
+        default='',
+        metavar='IP:PORT',
+        help='where other nodes reach this one, if that is not where it '
+        'listens, for example a proxy',
+    )
     return parser
 
 
-def _local_member(settings: PlatformSettings) -> Member:
+def check_advertised(address: str) -> str:
+    """Return the address; raise :class:`SettingsError` if it is none."""
+    if address and not is_address(address):
+        raise SettingsError([f'--advertise: {address!r} is not an address'])
+    return address
+
+
+def _local_member(settings: PlatformSettings, address: str) -> Member:
     return Member(
         settings.node,
-        settings.peer_address,
+        address,
         settings.region,
         settings.failure_domain,
         new_incarnation(),
--- a/bergamotmount/tests/test_oddsettings.py
+++ b/bergamotmount/tests/test_oddsettings.py
@@ -4,6 +4,7 @@
 import tempfile
 import unittest
 
+from bergamotmount.platform.daemon import check_advertised
 from bergamotmount.platform.settings import (
     parse_platform_settings,
     read_platform_settings,
@@ -77,6 +78,14 @@
             with self.assertRaises(SettingsError):
                 read_platform_settings(str(path))
 
+    def test_odd_address_to_advertise(self):
+        """Other nodes would dial it, and find this one nowhere."""
+        for odd in ('host:80', '10.0.0.1', '10.0.0.1:99999', ' '):
+            with self.subTest(odd), self.assertRaises(SettingsError):
+                check_advertised(odd)
+        for sound in ('', '10.0.0.1:7620'):
+            self.assertEqual(check_advertised(sound), sound)
+
     def test_file_that_cannot_be_read(self):
         for path in ('/nowhere/boot.conf', 'a\0b', ''):
             with self.subTest(path), self.assertRaises(SettingsError):
