Soak: proxies between nodes, odd input of others, and checks of the processes

Change: each node is reached through a proxy, which delays a share of the connections, holds bytes back in one direction or both until the end of the disturbance, refuses new connections and resets some. Another writer leaves odd entries and policy records in the store, and sends odd announcements and bytes to all addresses of a node. Two promises are new: no process ends by itself, and no log has a line of level error.

A process ignores it 35 to 67 ms after its start here (five starts, beside load), when the interpreter has come to the first line of the program; before that the system's default holds, and no line of ours can change it. The soak sent SIGHUP to such processes before, unseen. It asks the system now whether a process handles it; test_daemonsignals checks all that comes after the first line, as before.

--- a/bergamotmount/tools/soak/__main__.py
+++ b/bergamotmount/tools/soak/__main__.py
@@ -24,6 +24,7 @@
             tuple(arguments.release or (HERE,)),
             not arguments.planned_only,
             arguments.fixed,
+            not arguments.direct,
         )
         outcome = asyncio.run(SoakRun(options).play())
         is_broken = is_broken or bool(outcome.breaches)
@@ -37,7 +38,7 @@
     if outcome.breaches or keeps_logs:
         line['logs'] = str(outcome.folder)
         line['broken'] = [
-            f'{breach.promise}: {breach.request} ({breach.detail})'
+            f'{breach.promise}: {breach.subject} ({breach.detail})'
             for breach in outcome.breaches
         ]
     else:
@@ -64,6 +65,7 @@
     )
     add('--planned-only', action='store_true', help='no kills and pauses')
     add('--fixed', action='store_true', help='each node keeps its release')
+    add('--direct', action='store_true', help='no proxies between nodes')
     add('--keep', action='store_true', help='keep the logs of clean runs too')
     return parser
 
--- a/bergamotmount/tools/soak/deployment.py
+++ b/bergamotmount/tools/soak/deployment.py
@@ -15,6 +15,9 @@
 
 READY_TIMEOUT_S = 20
 
+_HEX = 16
+_SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
+
 DOMAINS = ('east', 'west', 'north')
 
 
@@ -53,11 +56,45 @@
             [ports.take() for _ in range(PEER_PORTS)],
         )
         self.is_up = False
+        #: Exit codes of processes that ended by themselves.
+        self.own_ends: list[int] = []
+        #: Address of a proxy that other nodes are told to connect to.
+        self.advertised = ''
         self._host = host
         self._store_address = store_address
         self._folder = folder
         self._starts = 0
         self._process: asyncio.subprocess.Process | None = None
+        self._watching: asyncio.Task | None = None
+
+    @property
+    def peer_address(self) -> str:
+        """Where the node listens for other nodes."""
+        return f'{self._host}:{self.addresses.peer_ports[0]}'
+
+    @property
+    def handles_sighup(self) -> bool:
+        """Whether SIGHUP doesn't end the process.
+
+        It does by default, until the interpreter has come to the first line
+        of the program.
+        """
+        status = pathlib.Path(f'/proc/{self._process.pid}/status')
+        try:
+            lines = status.read_text(encoding='utf-8').splitlines()
+        except OSError:
+            return False
+        masks = [
+            int(line.split()[1], _HEX)
+            for line in lines
+            if line.startswith(('SigIgn:', 'SigCgt:'))
+        ]
+        return any(mask & _SIGHUP_BIT for mask in masks)
+
+    @property
+    def logs(self) -> list[pathlib.Path]:
+        """Return the logs of all processes of this node."""
+        return sorted(self._folder.glob(f'{self.name}.*.log'))
 
     async def start(self, release: pathlib.Path) -> None:
         """Start the process."""
@@ -70,6 +107,7 @@
                 sys.executable,
                 '-m',
                 'bergamotmount.platform',
+                *self._arguments(),
                 cwd=release,
                 env={**os.environ, 'BERGAMOTMOUNT_CONFIG': str(path)},
                 stdin=asyncio.subprocess.DEVNULL,
@@ -77,6 +115,7 @@
                 stderr=output,
             )
         self.is_up = True
+        self._watching = asyncio.create_task(self._watch(self._process))
 
     async def wait_listening(self) -> None:
         """Wait until callers can connect; raise TimeoutError if they can't."""
@@ -106,6 +145,16 @@
             await self._process.wait()
         self.is_up = False
 
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        """Notice a process that ends without having been told to."""
+        code = await process.wait()
+        if self.is_up and process is self._process:
+            self.is_up = False
+            self.own_ends.append(code)
+
+    def _arguments(self) -> list[str]:
+        return ['--advertise', self.advertised] if self.advertised else []
+
     def _settings(self) -> list[str]:
         return [
             *self._own_settings(),
--- a/bergamotmount/tools/soak/ledger.py
+++ b/bergamotmount/tools/soak/ledger.py
@@ -24,14 +24,16 @@
     OWN_ANSWER = 'own_answer'
     DEPARTURE = 'departure'
     PLANNED_STOP = 'planned_stop'
+    PROCESS_RUNS = 'process_runs'
+    NO_OWN_ERROR = 'no_own_error'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Breach:
-    """A broken promise, and the request that shows it."""
+    """A broken promise, and the request or node that shows it."""
 
     promise: Promise
-    request: str
+    subject: str
     detail: str
 
 
--- a/bergamotmount/tools/soak/soakrun.py
+++ b/bergamotmount/tools/soak/soakrun.py
@@ -10,16 +10,18 @@
 from collections.abc import Coroutine
 
 from bergamotmount.clock import Clock
+from bergamotmount.tools.ports import PortAllocator
 from bergamotmount.tools.soak.callers import Caller
 from bergamotmount.tools.soak.deployment import NodeProcess
-from bergamotmount.tools.soak.ledger import Breach, Ledger
+from bergamotmount.tools.soak.ledger import Breach, Ledger, Promise
+from bergamotmount.tools.soak.oddwriter import OddWriter
+from bergamotmount.tools.soak.peerproxy import Disturbance, PeerProxy
 from bergamotmount.tools.soak.standinserver import (
     Misbehaviour,
     ServerAddresses,
     StandinServer,
 )
 from bergamotmount.tools.soak.standinstore import StandinStore
-from bergamotmount.tools.ports import PortAllocator
 
 #: Time for the nodes to find each other before callers come.
 SETTLE_S = 4
@@ -40,7 +42,8 @@
     Nodes start from one of ``releases``, checkouts of the source; each restart
     draws one anew. With ``is_fixed`` each node keeps one instead, in turn, so
     that the nodes of each service run the same. With ``kills`` processes are
-    killed and paused.
+    killed and paused. With ``is_proxied`` nodes reach each other by proxies,
+    whose connections are harmed; older releases know no such address.
     """
 
     seed: int
@@ -49,6 +52,7 @@
     releases: tuple[pathlib.Path, ...]
     kills: bool = True
     is_fixed: bool = False
+    is_proxied: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,13 +76,17 @@
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
         # A loopback address of its own lets runs go side by side.
         host_rng = random.SystemRandom()
-        self._host = (
-            f'127.{host_rng.randrange(1, 64)}.{host_rng.randrange(256)}.1'
-        )
+        network = f'127.{host_rng.randrange(1, 64)}.{host_rng.randrange(256)}'
+        self._host = f'{network}.1'
+        self._proxy_host = f'{network}.2'
         self._ports = PortAllocator(self._host)
         self._store = StandinStore(self._clock)
         self._nodes: list[NodeProcess] = []
         self._server_by_node: dict[str, StandinServer] = {}
+        self._proxies: list[PeerProxy] = []
+        self._odd_writer = OddWriter(
+            self._store, random.Random(self._rng.random())
+        )
         self._lives = 0
         self._version = 0
 
@@ -93,9 +101,10 @@
             await self._end_faults()
         finally:
             await self._close(tasks)
-        return SoakOutcome(
-            self._ledger.breaches(), self._ledger.summary(), self._folder
-        )
+        breaches = self._ledger.breaches()
+        for node in self._nodes:
+            breaches.extend(node_breaches(node))
+        return SoakOutcome(breaches, self._ledger.summary(), self._folder)
 
     async def _start(self) -> None:
         store_address = f'{self._host}:{self._ports.take()}'
@@ -111,11 +120,24 @@
                 self._folder,
             )
             self._nodes.append(node)
+            if self._options.is_proxied:
+                await self._start_proxy(node)
             await node.start(self._release_of(node))
         for node in self._nodes:
             await node.wait_listening()
             await self._start_server(node)
 
+    async def _start_proxy(self, node: NodeProcess) -> None:
+        port = node.peer_address.rpartition(':')[2]
+        proxy = PeerProxy(
+            f'{self._proxy_host}:{port}',
+            node.peer_address,
+            random.Random(self._rng.random()),
+        )
+        await proxy.start()
+        self._proxies.append(proxy)
+        node.advertised = proxy.address
+
     async def _start_server(self, node: NodeProcess) -> None:
         self._lives += 1
         addresses = node.addresses
@@ -148,9 +170,11 @@
         """Start faults at random moments; they overlap."""
         end_ms = self._clock.now_ms() + self._options.seconds * 1000
         faults = [self._misbehave, self._stop, self._reload, self._change]
-        faults += [self._replace_server]
+        faults += [self._replace_server, self._write_oddly]
         if self._options.kills:
             faults += [self._kill, self._pause]
+        if self._proxies and self._options.kills:
+            faults += [self._disturb_links, self._reset_links]
         async with asyncio.TaskGroup() as group:
             while self._clock.now_ms() < end_ms:
                 group.create_task(self._rng.choice(faults)())
@@ -159,6 +183,8 @@
     async def _end_faults(self) -> None:
         for server in self._server_by_node.values():
             server.misbehaviour = Misbehaviour()
+        for proxy in self._proxies:
+            proxy.disturb(Disturbance())
         await asyncio.sleep(QUIET_S)
 
     async def _misbehave(self) -> None:
@@ -200,7 +226,7 @@
 
     async def _reload(self) -> None:
         node = self._rng.choice(self._nodes)
-        if node.is_up:
+        if node.is_up and node.handles_sighup:
             node.send_signal(signal.SIGHUP)
 
     async def _replace_server(self) -> None:
@@ -215,6 +241,27 @@
     async def _change(self) -> None:
         self._publish()
 
+    async def _disturb_links(self) -> None:
+        """Harm the connections to a node for a while."""
+        proxy = self._rng.choice(self._proxies)
+        self._ledger.record_fault()
+        proxy.disturb(Disturbance.draw(self._rng))
+        await asyncio.sleep(self._rng.choice((0.3, 0.8, 2, 4)))
+        proxy.disturb(Disturbance())
+        self._ledger.record_fault()
+
+    async def _reset_links(self) -> None:
+        self._ledger.record_fault()
+        self._rng.choice(self._proxies).reset_some()
+
+    async def _write_oddly(self) -> None:
+        node = self._rng.choice(self._nodes)
+        self._odd_writer.write_policy()
+        # The next record is a sound one again.
+        self._publish()
+        self._odd_writer.write_entry(node)
+        await self._odd_writer.send(node, f'i-{self._lives}')
+
     def _publish(self) -> None:
         self._version += self._rng.randint(1, 9)
         self._store.publish(_policy(self._version, self._rng))
@@ -231,7 +278,10 @@
         await asyncio.gather(*callers, return_exceptions=True)
         for server in self._server_by_node.values():
             server.close()
+        for proxy in self._proxies:
+            proxy.close()
         for node in self._nodes:
+            node.is_up = False
             with contextlib.suppress(ProcessLookupError):
                 node.send_signal(signal.SIGCONT)
                 node.send_signal(signal.SIGKILL)
@@ -239,6 +289,19 @@
         self._store.close()
 
 
+def node_breaches(node: NodeProcess) -> list[Breach]:
+    """Return what the processes of a node did that none may do."""
+    found = [
+        Breach(Promise.PROCESS_RUNS, node.name, f'ended with {code}')
+        for code in node.own_ends
+    ]
+    for log in node.logs:
+        for line in log.read_text(errors='replace').splitlines():
+            if '"level": "error"' in line or line.startswith('Traceback'):
+                found.append(Breach(Promise.NO_OWN_ERROR, log.name, line[:200]))
+    return found
+
+
 def _policy(version: int, rng: random.Random) -> dict:
     routes = [
         _route('order', 'desk', 'non_idempotent', rng),
--- a/bergamotmount/tools/soak/standinstore.py
+++ b/bergamotmount/tools/soak/standinstore.py
@@ -38,10 +38,13 @@
 
     def publish(self, record: dict) -> None:
         """Write the operators' policy record."""
-        key = names.POLICY_KEY.encode()
         encoded = json.dumps(record).encode()
-        packed = bytes((len(key),)) + key + encoded
-        self._append(names.OPERATOR_TOPIC, packed)
+        self.write(names.OPERATOR_TOPIC, names.POLICY_KEY, encoded)
+
+    def write(self, topic: str, key: str, encoded: bytes) -> None:
+        """Write any record, as another writer may."""
+        packed = key.encode()
+        self._append(topic, bytes((len(packed),)) + packed + encoded)
 
     def close(self) -> None:
         """Stop listening."""
