Refuse requests that come while a node of the own interface leaves

Cause: a leaving node waits for requests and then closes, and nothing kept new ones out in between.

Change: from the moment it leaves, the egress refuses what is new: 503, not run, with a time to return. Requests in progress go on as before.

Ruled out: pipelined requests on this interface. Its HTTP library handles one request of a connection at a time, so those behind a closing response are never passed on.

--- a/bergamotmount/egress.py
+++ b/bergamotmount/egress.py
@@ -45,6 +45,7 @@
         ``rng`` generates root request ids and the jitter of the backoff.
         """
         self.active_calls = 0
+        self._is_leaving = False
         self._clock = clock
         self._deps = deps
         self._counters = counters
@@ -56,6 +57,9 @@
 
         Cancelling the task cancels the request and all its nested calls.
         """
+        if self._is_leaving:
+            self.count_refusal(RefusalReason.DRAINING)
+            return NotRun(RefusalReason.DRAINING, ENTRY_RETRY_AFTER_MS)
         self.active_calls += 1
         try:
             outcome = await self._call(request)
@@ -68,6 +72,10 @@
                 self._counters.unknown(_ROLE, reason)
         return outcome
 
+    def refuse_new(self) -> None:
+        """Refuse all further requests; those in progress go on."""
+        self._is_leaving = True
+
     def count_refusal(self, reason: RefusalReason) -> None:
         """Count a request that was refused before it was parsed."""
         self._counters.refused(_ROLE, reason)
--- a/bergamotmount/node.py
+++ b/bergamotmount/node.py
@@ -171,7 +171,11 @@
         await self._wait_while(self._has_server_requests)
 
     async def leave(self) -> None:
-        """Wait for requests of callers, announce the departure, and close."""
+        """Wait for requests of callers, announce the departure, and close.
+
+        Further requests, on connections that are still open, are refused.
+        """
+        self.egress.refuse_new()
         await self._wait_while(self._has_caller_requests)
         self._announce(MemberState.LEFT)
         self.heartbeats.send_final_updates()
--- a/bergamotmount/tests/test_node.py
+++ b/bergamotmount/tests/test_node.py
@@ -45,6 +45,33 @@
     return simulation
 
 
+class LateRequestTest(VirtualTestCase):
+    """A request that comes late in a stop is refused, not interrupted."""
+
+    async def test_request_while_the_node_leaves(self):
+        """Its run was interrupted as the node closed its links."""
+        for moment_s in (0.005, 0.02, 0.04, 0.06, 0.09):
+            with self.subTest(moment_s):
+                await self.send_while_leaving(moment_s)
+
+    async def send_while_leaving(self, moment_s: float) -> None:
+        """Send a request at this time after the node began to leave."""
+        simulation = await make_simulation()
+        host = simulation.host_by_name['a1']
+        for target in simulation.host_by_name.values():
+            target.server.service_ms = 200
+        await host.node.drain()
+        leaving = asyncio.create_task(host.node.leave())
+        await asyncio.sleep(moment_s)
+        outcome = await host.node.egress.call(Request('a', 'read'))
+        await leaving
+        self.assertIsInstance(outcome, NotRun)
+        self.assertEqual(outcome.reason, RefusalReason.DRAINING)
+        self.assertGreater(outcome.retry_after_ms, 0)
+        self.assertEqual(simulation.execution_log.interrupted, [])
+        simulation.close()
+
+
 class ReplacementTest(VirtualTestCase):
     """A rolling replacement of all hosts loses and refuses no request."""
 
