--- a/bergamotmount/tools/soak/peerproxy.py
+++ b/bergamotmount/tools/soak/peerproxy.py
@@ -120,19 +120,20 @@
             return
         carried = _Carried((writer, node_writer), self._rng.random())
         self._carried.add(carried)
-        # The first end that closes ends the connection for the other one too.
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await asyncio.wait(
-                (
-                    asyncio.create_task(
-                        self._pump(carried, reader, node_writer, 'to_node')
-                    ),
-                    asyncio.create_task(
-                        self._pump(carried, node_reader, writer, 'from_node')
-                    ),
-                ),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+        pumps = [
+            asyncio.create_task(
+                self._pump(carried, reader, node_writer, 'to_node')
+            ),
+            asyncio.create_task(
+                self._pump(carried, node_reader, writer, 'from_node')
+            ),
+        ]
+        try:
+            # The first end that closes ends the connection for the other too.
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
         carried.reset()
         self._carried.discard(carried)
 
