--- a/bergamotmount/tools/soak/__main__.py
+++ b/bergamotmount/tools/soak/__main__.py
@@ -7,6 +7,7 @@
 import shutil
 import sys
 
+from bergamotmount.tools.soak.callers import THINK_S
 from bergamotmount.tools.soak.soakrun import SoakOptions, SoakOutcome, SoakRun
 
 HERE = pathlib.Path(__file__).resolve().parents[3]
@@ -25,6 +26,7 @@
             not arguments.planned_only,
             arguments.fixed,
             not arguments.direct,
+            arguments.think,
         )
         outcome = asyncio.run(SoakRun(options).play())
         is_broken = is_broken or bool(outcome.breaches)
@@ -66,6 +68,13 @@
     add('--planned-only', action='store_true', help='no kills and pauses')
     add('--fixed', action='store_true', help='each node keeps its release')
     add('--direct', action='store_true', help='no proxies between nodes')
+    add(
+        '--think',
+        type=float,
+        default=THINK_S,
+        metavar='SECONDS',
+        help='pause of callers after each answer, longer for many nodes',
+    )
     add('--keep', action='store_true', help='keep the logs of clean runs too')
     return parser
 
--- a/bergamotmount/tools/soak/callers.py
+++ b/bergamotmount/tools/soak/callers.py
@@ -48,13 +48,19 @@
     """One caller of one node; it keeps its connection until that ends."""
 
     def __init__(
-        self, name: str, node: str, address: str, ledger: Ledger
+        self,
+        name: str,
+        node: str,
+        address: str,
+        ledger: Ledger,
+        think_s: float = THINK_S,
     ) -> None:
-        """Start without a connection."""
+        """Start without a connection; pause for ``think_s`` after answers."""
         self._name = name
         self._node = node
         self._address = address
         self._ledger = ledger
+        self._think_s = think_s
         self._rng = random.Random(name)
         self._numbers = itertools.count(1)
         self._connection: CallerConnection | None = None
@@ -64,7 +70,7 @@
         with contextlib.closing(self):
             while True:
                 await self._exchange('POST', 'order', count=1)
-                await asyncio.sleep(THINK_S)
+                await asyncio.sleep(self._think_s)
 
     async def send_pipelined(self) -> None:
         """Send several idempotent requests at once, for ever."""
@@ -72,7 +78,7 @@
             while True:
                 count = self._rng.randint(1, PIPELINED)
                 await self._exchange('GET', 'view', count)
-                await asyncio.sleep(THINK_S)
+                await asyncio.sleep(self._think_s)
 
     def close(self) -> None:
         """Close the connection if there is one."""
--- a/bergamotmount/tools/soak/soakrun.py
+++ b/bergamotmount/tools/soak/soakrun.py
@@ -11,7 +11,7 @@
 
 from bergamotmount.clock import Clock
 from bergamotmount.tools.ports import PortAllocator
-from bergamotmount.tools.soak.callers import Caller
+from bergamotmount.tools.soak.callers import THINK_S, Caller
 from bergamotmount.tools.soak.deployment import NodeProcess
 from bergamotmount.tools.soak.ledger import Breach, Ledger, Promise
 from bergamotmount.tools.soak.oddwriter import OddWriter
@@ -43,7 +43,8 @@
     draws one anew. With ``is_fixed`` each node keeps one instead, in turn, so
     that the nodes of each service run the same. With ``kills`` processes are
     killed and paused. With ``is_proxied`` nodes reach each other by proxies,
-    whose connections are harmed; older releases know no such address.
+    whose connections are harmed; older releases know no such address. Callers
+    pause for ``think_s`` after each answer.
     """
 
     seed: int
@@ -53,6 +54,7 @@
     kills: bool = True
     is_fixed: bool = False
     is_proxied: bool = True
+    think_s: float = THINK_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,6 +162,7 @@
                     node.name,
                     node.addresses.callers,
                     self._ledger,
+                    self._options.think_s,
                 )
                 is_order = kind == 'orders'
                 send = caller.send_orders if is_order else caller.send_pipelined
