--- a/bergamotmount/wire/codec.py
+++ b/bergamotmount/wire/codec.py
@@ -2,34 +2,21 @@
 
 import dataclasses
 import enum
-import re
-from collections.abc import Callable, Sequence
-from typing import TypeVar
+from collections.abc import Callable
 
 from thrift.protocol import fastbinary
 from thrift.transport.TTransport import TMemoryBuffer
 
 from bergamotmount import messages
-from bergamotmount.fieldchecks import MAX_VERSION, is_address, is_name
-from bergamotmount.member import Member, MemberState
-from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
-from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
-from bergamotmount.wire import reportcodec
+from bergamotmount.reasons import DropReason
+from bergamotmount.wire import callcodec, heartbeatcodec, reportcodec
 from bergamotmount.wire.frames import FrameError
 from bergamotmount.wire.gen import ttypes
 
-_ReasonType = TypeVar('_ReasonType', RefusalReason, UnknownReason)
 
 #: Maximum number of elements in a list that is decoded.
 MAX_LIST_ELEMENTS = 100_000
 
-_MIN_STATUS = 200
-_MAX_STATUS = 599
-
-#: What would end a header, and a method or target, in a request or response.
-_header_break = re.compile(r'[\r\n\0]')
-_word_break = re.compile(r'[\x00-\x20\x7f]')
-
 
 class FrameKind(enum.IntEnum):
     """Kind of a frame: the thrift struct in its payload."""
@@ -46,12 +33,6 @@
     QUOTA_GRANT = 10
 
 
-class _WireOutcome(enum.IntEnum):
-    ANSWERED = 0
-    NOT_RUN = 1
-    UNKNOWN = 2
-
-
 @dataclasses.dataclass(slots=True)
 class _DecoderInput:
     """Input of thrift's C decoder: its transport and its limits."""
@@ -87,257 +68,6 @@
         raise FrameError(DropReason.FRAME_MALFORMED) from error
 
 
-def _call_to_wire(call: messages.Call) -> ttypes.Call:
-    return ttypes.Call(
-        call.attempt,
-        call.root,
-        call.rank,
-        call.remaining_ms,
-        call.tokens,
-        call.service,
-        call.operation,
-        call.method,
-        call.headers,
-        call.body,
-        call.ticket,
-        call.idempotent,
-        call.depth,
-        call.target,
-        call.tries,
-        call.entry_threshold,
-        call.is_repeat,
-    )
-
-
-def _call_from_wire(wire: ttypes.Call) -> messages.Call:
-    return messages.Call(
-        reportcodec.require_field(wire.attempt),
-        reportcodec.require_field(wire.root),
-        reportcodec.require_amount(wire.rank),
-        reportcodec.require_field(wire.remaining_ms),
-        reportcodec.amount_or_zero(wire.tokens),
-        reportcodec.require_field(wire.service_name),
-        reportcodec.require_field(wire.operation),
-        _require_word(wire.method),
-        _require_headers(wire.headers),
-        reportcodec.require_field(wire.body),
-        wire.ticket or '',
-        reportcodec.require_field(wire.idempotent),
-        reportcodec.amount_or_zero(wire.depth),
-        _require_word(wire.target or ''),
-        reportcodec.amount_or_zero(wire.tries),
-        reportcodec.threshold_or_admit_all(wire.entry_threshold),
-        bool(wire.is_repeat),
-    )
-
-
-def _answer_to_wire(answer: messages.Answer) -> ttypes.Answer:
-    wire = ttypes.Answer(
-        attempt=answer.attempt,
-        tokens=answer.tokens,
-        load_permille=answer.load_permille,
-        service_ms=answer.service_ms,
-        threshold=answer.threshold,
-        thresholds=reportcodec.thresholds_to_wire(answer.thresholds),
-        allowed=answer.demand.allowed,
-        demand=answer.demand.demand,
-        needs=answer.needs,
-        crashes=reportcodec.crashes_to_wire(answer.crashes),
-    )
-    reportcodec.add_evidence(wire, answer.evidence)
-    match answer.outcome:
-        case Answered(status, headers, body):
-            wire.outcome = _WireOutcome.ANSWERED
-            wire.status = status
-            wire.headers = headers
-            wire.body = body
-        case NotRun(reason, retry_after_ms, ticket, detail, may_return):
-            wire.outcome = _WireOutcome.NOT_RUN
-            wire.reason = reason
-            wire.retry_after_ms = retry_after_ms
-            wire.ticket = ticket
-            wire.detail = detail
-            wire.may_return = may_return
-        case Unknown(reason):
-            wire.outcome = _WireOutcome.UNKNOWN
-            wire.reason = reason
-    return wire
-
-
-def _answer_from_wire(wire: ttypes.Answer) -> messages.Answer:
-    return messages.Answer(
-        attempt=reportcodec.require_field(wire.attempt),
-        outcome=_outcome_from_wire(wire),
-        tokens=reportcodec.amount_or_zero(wire.tokens),
-        threshold=reportcodec.threshold_or_admit_all(wire.threshold),
-        thresholds=reportcodec.thresholds_from_wire(wire.thresholds),
-        load_permille=reportcodec.amount_or_zero(wire.load_permille),
-        service_ms=reportcodec.amount_or_zero(wire.service_ms),
-        demand=reportcodec.demand_from_wire(wire),
-        needs=wire.needs or [],
-        crashes=reportcodec.crashes_from_wire(wire.crashes),
-        evidence=reportcodec.evidence_from_wire(wire),
-    )
-
-
-def _outcome_from_wire(wire: ttypes.Answer) -> Outcome:
-    match wire.outcome:
-        case _WireOutcome.ANSWERED:
-            if not _MIN_STATUS <= wire.status <= _MAX_STATUS:
-                raise FrameError(DropReason.FRAME_MALFORMED)
-            return Answered(
-                wire.status,
-                _require_headers(wire.headers),
-                reportcodec.require_field(wire.body),
-            )
-        case _WireOutcome.NOT_RUN:
-            return NotRun(
-                _reason_from_wire(RefusalReason, wire.reason),
-                reportcodec.amount_or_zero(wire.retry_after_ms),
-                wire.ticket or '',
-                wire.detail or '',
-                bool(wire.may_return),
-            )
-        case _WireOutcome.UNKNOWN:
-            return Unknown(_reason_from_wire(UnknownReason, wire.reason))
-        case _:
-            raise FrameError(DropReason.FRAME_MALFORMED)
-
-
-def _require_word(text: str | None) -> str:
-    """Return a method or a target, which must not hold white space."""
-    word = reportcodec.require_field(text)
-    if _word_break.search(word):
-        raise FrameError(DropReason.FRAME_MALFORMED)
-    return word
-
-
-def _require_headers(headers: list[str] | None) -> list[str]:
-    """Return names and values of headers, which must stay one line each."""
-    is_paired = len(reportcodec.require_field(headers)) % 2 == 0
-    if not is_paired or _header_break.search(' '.join(headers)):
-        raise FrameError(DropReason.FRAME_MALFORMED)
-    return headers
-
-
-def _reason_from_wire(
-    reason_type: type[_ReasonType], name: str | None
-) -> _ReasonType:
-    """Return a reason; nodes of a later release may send an unknown one."""
-    try:
-        return reason_type(reportcodec.require_field(name))
-    except ValueError:
-        return reason_type.UNRECOGNIZED
-
-
-def _member_to_wire(member: Member) -> ttypes.Member:
-    return ttypes.Member(
-        member.node,
-        member.address,
-        member.region,
-        member.failure_domain,
-        member.incarnation,
-        member.version,
-        member.state,
-        member.service,
-        member.slots,
-        member.admin,
-    )
-
-
-def _member_from_wire(wire: ttypes.Member) -> Member:
-    member = Member(
-        reportcodec.require_field(wire.node),
-        reportcodec.require_field(wire.address),
-        reportcodec.require_field(wire.region),
-        reportcodec.require_field(wire.failure_domain),
-        reportcodec.require_field(wire.incarnation),
-        reportcodec.require_field(wire.version),
-        MemberState(wire.state),
-        wire.service_name or '',
-        reportcodec.amount_or_zero(wire.slots),
-        wire.admin or '',
-    )
-    if not _is_usable(member):
-        raise FrameError(DropReason.FRAME_MALFORMED)
-    return member
-
-
-def _is_usable(member: Member) -> bool:
-    """Return whether a member can be dialled and passed on."""
-    names = [member.node, member.region, member.failure_domain]
-    addresses = [member.address]
-    if member.service:
-        names.append(member.service)
-    if member.admin:
-        addresses.append(member.admin)
-    versions = (member.incarnation, member.version)
-    return (
-        all(map(is_name, names))
-        and all(map(is_address, addresses))
-        and all(0 <= number <= MAX_VERSION for number in versions)
-    )
-
-
-def _heartbeat_to_wire(heartbeat: messages.Heartbeat) -> ttypes.Heartbeat:
-    wire = ttypes.Heartbeat(
-        heartbeat.sequence,
-        heartbeat.reply,
-        [_member_to_wire(member) for member in heartbeat.members],
-        heartbeat.digest,
-        heartbeat.policy_offset,
-        reportcodec.thresholds_to_wire(heartbeat.thresholds),
-        False,
-        heartbeat.release,
-        heartbeat.threshold,
-        heartbeat.load_permille,
-        heartbeat.buckets,
-        reportcodec.calls_to_wire(heartbeat.calls),
-        reportcodec.crashes_to_wire(heartbeat.crashes),
-        heartbeat.sent_ms,
-        heartbeat.echoed_ms,
-    )
-    reportcodec.add_evidence(wire, heartbeat.evidence)
-    return wire
-
-
-def _heartbeat_from_wire(wire: ttypes.Heartbeat) -> messages.Heartbeat:
-    """Return a heartbeat without what can't be used of it.
-
-    Its first member is the sender; without it nothing can be used.
-    """
-    heartbeat = messages.Heartbeat(
-        sequence=reportcodec.require_field(wire.sequence),
-        reply=reportcodec.require_field(wire.reply),
-        members=_members_from_wire(wire.members or ()),
-        digest=reportcodec.require_field(wire.digest),
-        policy_offset=reportcodec.require_field(wire.policy_offset),
-        threshold=reportcodec.threshold_or_admit_all(wire.threshold),
-        thresholds=reportcodec.thresholds_from_wire(wire.thresholds),
-        load_permille=reportcodec.amount_or_zero(wire.load_permille),
-        buckets=wire.buckets or [],
-        release=wire.release or '',
-        calls=reportcodec.calls_from_wire(wire.calls),
-        crashes=reportcodec.crashes_from_wire(wire.crashes),
-        sent_ms=reportcodec.finite_or_none(wire.sent_ms),
-        echoed_ms=reportcodec.finite_or_none(wire.echoed_ms),
-        evidence=reportcodec.evidence_from_wire(wire),
-    )
-    for received, used in (
-        (wire.members, heartbeat.members),
-        (wire.thresholds, heartbeat.thresholds),
-        (wire.calls, heartbeat.calls),
-        (wire.crashes, heartbeat.crashes),
-    ):
-        heartbeat.omitted += len(received or ()) - len(used)
-    return heartbeat
-
-
-def _members_from_wire(wires: Sequence[ttypes.Member]) -> list[Member]:
-    sender = [_member_from_wire(wire) for wire in wires[:1]]
-    return sender + reportcodec.usable(_member_from_wire, wires[1:])
-
-
 def _quota_request_from_wire(wire: ttypes.QuotaRequest) -> messages.Message:
     return messages.QuotaRequest(
         reportcodec.require_field(wire.sequence),
@@ -363,8 +93,12 @@
 _Decoder = tuple[type, Callable]
 
 _ENCODERS: dict[type, _Encoder] = {
-    messages.Call: (FrameKind.CALL, ttypes.Call, _call_to_wire),
-    messages.Answer: (FrameKind.ANSWER, ttypes.Answer, _answer_to_wire),
+    messages.Call: (FrameKind.CALL, ttypes.Call, callcodec.call_to_wire),
+    messages.Answer: (
+        FrameKind.ANSWER,
+        ttypes.Answer,
+        callcodec.answer_to_wire,
+    ),
     messages.Cancel: (
         FrameKind.CANCEL,
         ttypes.Cancel,
@@ -373,7 +107,7 @@
     messages.Heartbeat: (
         FrameKind.HEARTBEAT,
         ttypes.Heartbeat,
-        _heartbeat_to_wire,
+        heartbeatcodec.heartbeat_to_wire,
     ),
     messages.Ping: (
         FrameKind.PING,
@@ -421,13 +155,13 @@
 }
 
 _DECODERS: dict[int, _Decoder] = {
-    FrameKind.CALL: (ttypes.Call, _call_from_wire),
-    FrameKind.ANSWER: (ttypes.Answer, _answer_from_wire),
+    FrameKind.CALL: (ttypes.Call, callcodec.call_from_wire),
+    FrameKind.ANSWER: (ttypes.Answer, callcodec.answer_from_wire),
     FrameKind.CANCEL: (
         ttypes.Cancel,
         lambda wire: messages.Cancel(reportcodec.require_field(wire.attempt)),
     ),
-    FrameKind.HEARTBEAT: (ttypes.Heartbeat, _heartbeat_from_wire),
+    FrameKind.HEARTBEAT: (ttypes.Heartbeat, heartbeatcodec.heartbeat_from_wire),
     FrameKind.PING: (ttypes.Ping, lambda wire: messages.Ping(bool(wire.reply))),
     FrameKind.POLICY_FETCH: (
         ttypes.PolicyFetch,
