--- a/bergamotmount/tools/soak/soakrun.py
+++ b/bergamotmount/tools/soak/soakrun.py
@@ -267,7 +267,7 @@
 
     def _publish(self) -> None:
         self._version += self._rng.randint(1, 9)
-        self._store.publish(_policy(self._version, self._rng))
+        self._store.publish(make_policy(self._version, self._rng))
 
     def _release_of(self, node: NodeProcess) -> pathlib.Path:
         releases = self._options.releases
@@ -305,7 +305,8 @@
     return found
 
 
-def _policy(version: int, rng: random.Random) -> dict:
+def make_policy(version: int, rng: random.Random) -> dict:
+    """Return a policy record of the operators, with two routes."""
     routes = [
         _route('order', 'desk', 'non_idempotent', rng),
         _route('view', 'board', 'safe', rng),
