Check members of heartbeats by one remembered look-up

The checks of cost time for each message.

Change: names and address of a member are checked together and remembered; rates of a demand are judged by their sum and their least.

--- a/bergamotmount/wire/heartbeatcodec.py
+++ b/bergamotmount/wire/heartbeatcodec.py
@@ -1,5 +1,6 @@
 """Conversion between heartbeats with their members and thrift's structs."""
 
+import functools
 from collections.abc import Sequence
 
 from bergamotmount import messages
@@ -10,6 +11,9 @@
 from bergamotmount.wire.frames import FrameError
 from bergamotmount.wire.gen import ttypes
 
+#: Number of members whose check is remembered.
+_CACHED_MEMBERS = 4096
+
 
 def _member_to_wire(member: Member) -> ttypes.Member:
     return ttypes.Member(
@@ -40,22 +44,22 @@
         # Only operators use it: a node may leave the choice of its port open.
         wire.admin if wire.admin and is_address(wire.admin) else '',
     )
-    if not _is_usable(member):
+    is_current = 0 <= member.incarnation <= MAX_VERSION
+    is_valid = is_current and 0 <= member.version <= MAX_VERSION
+    if not is_valid or not _is_usable(
+        (member.node, member.region, member.failure_domain),
+        member.service,
+        member.address,
+    ):
         raise FrameError(DropReason.FRAME_MALFORMED)
     return member
 
 
-def _is_usable(member: Member) -> bool:
+@functools.lru_cache(_CACHED_MEMBERS)
+def _is_usable(names: tuple[str, ...], service: str, address: str) -> bool:
     """Return whether a member can be dialled and passed on."""
-    names = [member.node, member.region, member.failure_domain]
-    if member.service:
-        names.append(member.service)
-    versions = (member.incarnation, member.version)
-    return (
-        all(map(is_name, names))
-        and is_address(member.address)
-        and all(0 <= number <= MAX_VERSION for number in versions)
-    )
+    is_service = not service or is_name(service)
+    return is_service and all(map(is_name, names)) and is_address(address)
 
 
 def heartbeat_to_wire(heartbeat: messages.Heartbeat) -> ttypes.Heartbeat:
--- a/bergamotmount/wire/reportcodec.py
+++ b/bergamotmount/wire/reportcodec.py
@@ -41,8 +41,10 @@
         # Nodes of an older release don't send this field.
         return DemandReport()
     demand = tuple(wire.demand or ())
-    is_complete = len(demand) == LEVELS and all(map(is_amount, demand))
-    if not is_complete or math.isnan(wire.allowed):
+    is_complete = len(demand) == LEVELS and min(demand) >= 0
+    # The sum is finite only if each rate is.
+    is_usable = is_complete and math.isfinite(sum(demand))
+    if not is_usable or math.isnan(wire.allowed):
         return DemandReport()
     return DemandReport(wire.allowed, demand)
 
