Don't skip an entry of an era that began while the pages were read

Found by reading: entries on a later page were judged by the era of the first one. If the store came back from an older copy in between, nodes that had already settled the new era would have been skipped until the next read, a minute later.

Change: the latest era that the store has shown is the bound.

Evidence: test_era_that_rises_between_pages finds one node of two without the change.

--- a/bergamotmount/platform/store.py
+++ b/bergamotmount/platform/store.py
@@ -142,7 +142,9 @@
                 if is_crashes_key(key):
                     crashes.extend(parse_crashes(key, packed))
                 else:
-                    nodes.append(parse_member(key, packed, newest.era))
+                    # The era may have risen while the pages were read.
+                    era = self.era.current
+                    nodes.append(parse_member(key, packed, era))
             except EntryError as error:
                 _log.warning('Entry of {!r} skipped: {}.', key, error)
         return StoreEntries(
--- a/bergamotmount/tests/test_oddinput.py
+++ b/bergamotmount/tests/test_oddinput.py
@@ -331,13 +331,16 @@
     async def handle_request(self, _request: HttpRequest, _) -> HttpReply:
         return self.replies.pop(0)
 
-    def add_page(self, *records: bytes, has_more: bool = False) -> None:
+    def add_page(
+        self, *records: bytes, has_more: bool = False, era: int = 0
+    ) -> None:
         """Let the store answer a page of records, as written here."""
         packed = b', '.join(records)
         tail = b'], "end_offset": 9, "has_more": '
         flag = b'true}' if has_more else b'false}'
         body = b'{"items": [' + packed + tail + flag
-        self.replies.append(HttpReply(200, [], body))
+        headers = [names.STORE_ERA_HEADER, str(era)]
+        self.replies.append(HttpReply(200, headers, body))
 
     async def found(self) -> list[str]:
         """Return the nodes that are found."""
@@ -377,6 +380,13 @@
         self.assertEqual(await self.found(), ['a'])
         self.assertEqual(self.replies, [])
 
+    async def test_era_that_rises_between_pages(self):
+        """An entry of the new era is sound, though the first page is older."""
+        entry = b'["10.0.0.2:1","r","f",6,2]'
+        self.add_page(record('a'), has_more=True, era=1)
+        self.add_page(record('b', entry), era=2)
+        self.assertEqual(await self.found(), ['a', 'b'])
+
     async def test_policy_beside_odd_records_and_on_a_later_page(self):
         """Nodes started without a policy beside many other records."""
         self.add_page(b'{"key": "x"}', record('other'), has_more=True)
