Keep the input of a decoding error out of the log; correct the verification

The line has the type and the message now, which name position and byte only; the traceback holds lines of source only.

Evidence: test_input_that_cannot_be_decoded fails without the change.

--- a/bergamotmount/log.py
+++ b/bergamotmount/log.py
@@ -54,7 +54,11 @@
         }
         traceback = record.formatted_exception
         if traceback:
-            line['error'] = repr(record.exc_info[1])[:MAX_ERROR_CHARS]
+            # Not its representation: some errors show their whole input there,
+            # which may hold a key.
+            error = record.exc_info[1]
+            text = f'{type(error).__name__}: {error}'
+            line['error'] = text[:MAX_ERROR_CHARS]
             line['traceback'] = traceback[-MAX_TRACEBACK_CHARS:]
         return json.dumps(line)
 
--- a/bergamotmount/tests/test_log.py
+++ b/bergamotmount/tests/test_log.py
@@ -101,7 +101,7 @@
     async def test_failed_task(self):
         """Operators see what failed, and where, in one line."""
         line = await self.failure_line(RecursionError('nested too deeply'))
-        self.assertEqual(line['error'], "RecursionError('nested too deeply')")
+        self.assertEqual(line['error'], 'RecursionError: nested too deeply')
         self.assertIn('in run_badly', line['traceback'])
         self.assertIn('run_badly failed', line['message'])
 
@@ -110,6 +110,15 @@
         line = await self.failure_line(ValueError('x' * MAX_TRACEBACK_CHARS))
         self.assertEqual(len(line['traceback']), MAX_TRACEBACK_CHARS)
 
+    async def test_input_that_cannot_be_decoded(self):
+        """The representation of the error shows its input, maybe a key."""
+        try:
+            b'Token secret\xff'.decode()
+        except UnicodeDecodeError as error:
+            line = await self.failure_line(error)
+        self.assertIn('UnicodeDecodeError: ', line['error'])
+        self.assertNotIn('secret', line['error'])
+
     async def test_line_without_error(self):
         part_logger('test').info('Fine.')
         self.assertNotIn('error', self.last_line())
