Log by which version of the policy a request was decided, and its age

The users' record shows totals only: no line said which version decided a request, a 404 left no line at all, and a record that was read and ignored left none either, so that the hypotheses of the postmortem could not be told apart. Lines about a request now end with the version and the time since it was known to be the newest; totals have the version; a 404 and an ignored older record leave a line. The version is a metric too.

No decision changes.

--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -36,6 +36,7 @@
     MIN_ATTEMPT_MS,
     Sender,
 )
+from bergamotmount.organisations.freshness import PolicyFreshness
 from bergamotmount.organisations.identity import Denied, Identified
 from bergamotmount.organisations.organisation import Organisation
 from bergamotmount.organisations.quotas import Quotas
@@ -63,6 +64,9 @@
 #: Maximum Retry-After, as a share of the time left until the caller's deadline.
 MAX_RETRY_AFTER_SHARE = 1 / 3
 
+#: Maximum length of a host in a line of the log, in characters.
+MAX_LOGGED_CHARS = 80
+
 #: Status of a failure after which a request may have run.
 BAD_GATEWAY = 502
 
@@ -73,6 +77,9 @@
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
+#: Reason of a 404 in the log.
+_NO_ROUTE = 'no_route'
+
 _CHALLENGE_HEADER = 'WWW-Authenticate'
 
 
@@ -87,6 +94,7 @@
     route_table: Callable[[], RouteTable | None]
     caller_check: CallerCheck
     quotas: Quotas
+    freshness: PolicyFreshness
 
 
 class Entry:
@@ -124,7 +132,7 @@
             request.path,
         )
         if route is None:
-            return HttpReply(_NOT_FOUND)
+            return self._unrouted_reply(request)
         match self._deps.caller_check.check(request, route, table):
             case Denied(reason):
                 return self._denial_reply(request, route, reason)
@@ -157,7 +165,7 @@
         host = header_of(request.headers, 'Host') or ''
         route = table.find(host, request.path)
         if route is None:
-            return _NOT_FOUND
+            return self._unrouted_reply(request).status
         identity = self._deps.caller_check.check(request, route, table)
         if isinstance(identity, Denied):
             self._counters.denied(identity.reason)
@@ -198,6 +206,7 @@
             now_ms,
             now_ms + timeout_ms,
             organisation=organisation,
+            policy_version=table.policy.version,
         )
 
     async def _check_and_send(self, pending: PendingRequest) -> HttpReply:
@@ -237,6 +246,13 @@
         wait_ms = DEFAULT_RETRY_AFTER_MS * self._rng.uniform(1, 2)
         return NotRun(RefusalReason.OVER_THRESHOLD, int(wait_ms))
 
+    def _unrouted_reply(self, request: HttpRequest) -> HttpReply:
+        """Return a 404 for a request that no route of the policy matches."""
+        self._record_early_end(
+            'denied', request, '', RequestOutcome.DENIED, _NO_ROUTE
+        )
+        return HttpReply(_NOT_FOUND)
+
     def _denial_reply(
         self, request: HttpRequest, route: Route, reason: DenialReason
     ) -> HttpReply:
@@ -274,12 +290,13 @@
             kind,
             request=header_of(request.headers, self._header_names.request_id)
             or '',
+            host=(header_of(request.headers, 'Host') or '')[:MAX_LOGGED_CHARS],
             route=route_name,
             reason=reason,
+            **self._describe_policy(self._version),
         )
-        self.totals.record(
-            OutcomeKey(route_name, call=False, outcome=outcome, reason=reason)
-        )
+        key = OutcomeKey(route_name, False, outcome, reason, self._version)
+        self.totals.record(key)
 
     def _failure_reply(self, pending: PendingRequest) -> HttpReply:
         """Return the reply after the last attempt failed."""
@@ -326,7 +343,13 @@
         self, pending: PendingRequest, outcome: RequestOutcome, reason: str = ''
     ) -> None:
         self.totals.record(
-            OutcomeKey(pending.route.name, pending.is_nested, outcome, reason)
+            OutcomeKey(
+                pending.route.name,
+                pending.is_nested,
+                outcome,
+                reason,
+                pending.policy_version,
+            )
         )
 
     def _log_decision(
@@ -343,4 +366,23 @@
             tried=','.join(sorted(pending.tried_nodes)),
             sends=pending.sends,
             left_ms=round(pending.deadline_ms - self._clock.now_ms()),
+            **self._describe_policy(pending.policy_version),
         )
+
+    @property
+    def _version(self) -> int:
+        """Active version of the policy, -1 without one."""
+        table = self._deps.route_table()
+        return -1 if table is None else table.policy.version
+
+    def _describe_policy(self, version: int) -> dict[str, object]:
+        """Return the fields that tell which policy decided, and its evidence.
+
+        ``policy_age_ms`` is the time since the active version was known to be
+        the newest.
+        """
+        age_ms = self._deps.freshness.age_ms
+        return {
+            'policy': version,
+            'policy_age_ms': 'none' if math.isinf(age_ms) else round(age_ms),
+        }
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -342,6 +342,7 @@
                 self._route_table,
                 self._policy_access.caller_check,
                 self._quotas,
+                self._policy_access.freshness,
             ),
             self.options.header_names,
             counters,
@@ -363,6 +364,7 @@
     def _export_values(self) -> None:
         counters, freshness = self.ports.counters, self._policy_access.freshness
         counters.watch('policy_evidence_age_ms', lambda: freshness.age_ms)
+        counters.watch('policy_version', lambda: self.policy_source.version)
         counters.watch('quota_tokens_held', lambda: self._quotas.tokens_held)
         counters.watch(
             'quota_tokens_granted', lambda: self._quotas.tokens_granted
--- a/bergamotmount/forwarding/outcometotals.py
+++ b/bergamotmount/forwarding/outcometotals.py
@@ -2,11 +2,11 @@
 
 The decision log shows a sample of the requests that failed. Totals miss
 nothing: each second a line tells, for a route and an outcome, how many
-requests ended that way. New requests and calls that servers make are counted
-separately::
+requests ended that way, and by which version of the policy. New requests and
+calls that servers make are counted separately::
 
     entry: totals route=buy call=False outcome=refused reason=over_threshold
-      count=12
+      policy=17 count=12
 """
 
 import collections
@@ -35,13 +35,15 @@
     """What requests are counted by.
 
     ``call`` tells calls of servers from requests of callers. ``reason`` is
-    that of a refusal or of an unknown outcome.
+    that of a refusal or of an unknown outcome. ``policy`` is the version of
+    the policy by which the route was found, -1 without one.
     """
 
     route: str
     call: bool
     outcome: RequestOutcome
     reason: str = ''
+    policy: int = -1
 
 
 class OutcomeTotals:
--- a/bergamotmount/forwarding/pendingrequest.py
+++ b/bergamotmount/forwarding/pendingrequest.py
@@ -28,7 +28,7 @@
     ``threshold`` is the threshold that this request, or its root request, was
     compared with. ``organisation`` is that of the caller's key. With
     ``removes_key`` headers that state a key or an organisation aren't
-    forwarded.
+    forwarded. ``policy_version`` is the version by which its route was found.
     """
 
     request: HttpRequest
@@ -50,6 +50,7 @@
     threshold: float = ADMIT_ALL_RANK
     organisation: Organisation | None = None
     removes_key: bool = False
+    policy_version: int = -1
 
     @property
     def organisation_name(self) -> str:
--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -201,12 +201,21 @@
             self._has_unreadable_record = True
             return
         if policy.version <= self.version:
+            if record != self._record:
+                _log.info(
+                    'Policy version {} from {} ignored: version {} is active.',
+                    policy.version,
+                    source,
+                    self.version,
+                )
             return
         _log.info(
-            'Policy version {} from {} replaces version {}: {} routes.',
+            'Policy version {} from {} replaces version {}, known as newest '
+            '{:.0f} ms ago: {} routes.',
             policy.version,
             source,
             self.version,
+            self._freshness.age_ms,
             len(policy.routes),
         )
         self.table = RouteTable(policy)
--- a/bergamotmount/tests/test_losses.py
+++ b/bergamotmount/tests/test_losses.py
@@ -58,7 +58,10 @@
             totals.flush()
             totals.flush()
             lines = [each.message for each in handler.records]
-        expected = 'totals route=buy call=False outcome=late reason=- count=1'
+        expected = (
+            'totals route=buy call=False outcome=late reason=- policy=-1 '
+            'count=1'
+        )
         self.assertEqual(lines, [expected])
 
 
