Show that no node hears of a change once connections are silent

Connections to the store that are open at one moment carry nothing any more, new ones work.

The stand-in of the store can silence open connections, and the next ones.

--- a/bergamotmount/tests/fakestore.py
+++ b/bergamotmount/tests/fakestore.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from bergamotmount.clock import MS_PER_SECOND
 from bergamotmount.forwarding.policysource import PolicyError
@@ -23,6 +23,9 @@
 
 LATENCY_S = 0.004
 
+#: Timeout of a request, in addition to the time that it asks to wait.
+CALL_TIMEOUT_MS = 2500
+
 #: Record of another key in the same stream as the policy.
 OTHER_KEY = b'other'
 
@@ -136,7 +139,8 @@
     """The store as seen from one node.
 
     A test can partition the node from it, lose the answers to its writes, or
-    delay the writes after their answers are lost by ``late_s``.
+    delay the writes after their answers are lost by ``late_s``. It can also
+    silence the connections: each request has one of its own.
     """
 
     def __init__(self, store: FakeStore) -> None:
@@ -146,14 +150,76 @@
         self.loses_answers = False
         self.late_s = 0
         self.reads = 0
+        #: Number of the next requests whose connections are silent.
+        self.silent_requests = 0
+        #: Time that each answer takes.
+        self.latency_s = LATENCY_S
+        self._silenced = asyncio.Event()
+
+    def silence(self) -> None:
+        """Silence the connections that are open now; new ones work."""
+        self._silenced.set()
+        self._silenced = asyncio.Event()
 
     async def newest_policy(self) -> StorePage:
+        return await self._answer(self._newest_policy())
+
+    async def follow_policy(self, offset: int, wait_ms: float) -> StorePage:
+        return await self._answer(self._follow_policy(offset, wait_ms), wait_ms)
+
+    async def publish_member(self, member: Member, settled_era: int) -> None:
+        await self._answer(
+            self._write(
+                self.store.write_member, member.node, member, settled_era
+            )
+        )
+
+    async def remove_member(self, node: str) -> None:
+        await self._answer(self._write(self.store.write_member, node, None))
+
+    async def publish_crashes(
+        self, fingerprint: int, servers: list[str]
+    ) -> None:
+        await self._answer(
+            self._write(self.store.write_crashes, fingerprint, *servers)
+        )
+
+    async def remove_crashes(self, fingerprint: int) -> None:
+        await self._answer(self._write(self.store.write_crashes, fingerprint))
+
+    async def entries(self) -> StoreEntries:
+        return await self._answer(self._entries())
+
+    async def _answer(self, request: Coroutine, wait_ms: float = 0):
+        """Return the answer; there is none if the connection is silent."""
+        timeout_s = (CALL_TIMEOUT_MS + wait_ms) / MS_PER_SECOND
+        answering = asyncio.ensure_future(request)
+        silenced = asyncio.ensure_future(self._silenced.wait())
+        if self.silent_requests:
+            self.silent_requests -= 1
+            self.reads += 1
+            answering.cancel()
+        started_s = _now_s()
+        try:
+            await asyncio.wait(
+                (answering, silenced), return_when=asyncio.FIRST_COMPLETED
+            )
+            if answering.done() and not answering.cancelled():
+                return answering.result()
+            answering.cancel()
+            await asyncio.sleep(started_s + timeout_s - _now_s())
+            raise LogError('no answer')
+        finally:
+            answering.cancel()
+            silenced.cancel()
+
+    async def _newest_policy(self) -> StorePage:
         await self._access()
         records = self.store.records
         policies = [record for record in records if record != OTHER_KEY]
         return StorePage(policies[-1:], len(records), self.store.era)
 
-    async def follow_policy(self, offset: int, wait_ms: float) -> StorePage:
+    async def _follow_policy(self, offset: int, wait_ms: float) -> StorePage:
         await self._access()
         if offset > len(self.store.records):
             raise OffsetExpiredError(f'no offset {offset}')
@@ -168,23 +234,7 @@
         policies = [each for each in records[offset:] if each != OTHER_KEY]
         return StorePage(policies, len(records), self.store.era)
 
-    async def publish_member(self, member: Member, settled_era: int) -> None:
-        await self._write(
-            self.store.write_member, member.node, member, settled_era
-        )
-
-    async def remove_member(self, node: str) -> None:
-        await self._write(self.store.write_member, node, None)
-
-    async def publish_crashes(
-        self, fingerprint: int, servers: list[str]
-    ) -> None:
-        await self._write(self.store.write_crashes, fingerprint, *servers)
-
-    async def remove_crashes(self, fingerprint: int) -> None:
-        await self._write(self.store.write_crashes, fingerprint)
-
-    async def entries(self) -> StoreEntries:
+    async def _entries(self) -> StoreEntries:
         await self._access()
         return StoreEntries(
             list(self.store.member_by_node.values()),
@@ -209,7 +259,7 @@
 
     async def _access(self) -> None:
         self.reads += 1
-        await asyncio.sleep(LATENCY_S)
+        await asyncio.sleep(self.latency_s)
         if self.is_partitioned or not self.store.is_up:
             raise LogError('store is unreachable')
         self.era.observe(self.store.era)
--- a/bergamotmount/tests/test_policychanges.py
+++ b/bergamotmount/tests/test_policychanges.py
@@ -4,11 +4,105 @@
 
 import logbook
 
-from bergamotmount.tests.forwardingfixture import make_forwarding_fixture
+from bergamotmount.tests.forwardingfixture import (
+    ForwardingFixture,
+    make_forwarding_fixture,
+)
 from bergamotmount.tests.test_routetable import policy, route
 from bergamotmount.tests.virtualtime import VirtualTestCase
 
 
+#: A version has to be in force this long after the store acknowledged it.
+APPLY_S = 2
+
+#: Times between silence and change: at once, soon, and later than any check.
+PAUSES_S = (0, 0.5, 8)
+
+
+class SilentConnectionTest(VirtualTestCase):
+    """A change was not in force for 20 s when connections had gone silent.
+
+    They stay open for good without carrying anything; new ones work (issue 43).
+    """
+
+    async def start(self) -> ForwardingFixture:
+        """Start nodes that have found each other and follow the store."""
+        fixture = await make_forwarding_fixture()
+        await asyncio.sleep(5)
+        return fixture
+
+    def silence_store(self, fixture: ForwardingFixture) -> None:
+        """Silence the connections of all nodes to the store."""
+        for host in fixture.host_by_name.values():
+            host.store.silence()
+
+    def silence_links(self, fixture: ForwardingFixture) -> None:
+        """Silence the connections between all nodes."""
+        for channel in fixture.network.channels:
+            channel.is_silent = True
+
+    async def assert_in_force(
+        self, fixture: ForwardingFixture, version: int
+    ) -> None:
+        """Check that a version that is published now gets in force in time."""
+        fixture.store.publish(policy(route('moved', '/a/'), version=version))
+        await asyncio.sleep(APPLY_S)
+        versions = {
+            name: host.node.policy_source.version
+            for name, host in fixture.host_by_name.items()
+        }
+        self.assertEqual(versions, dict.fromkeys(versions, version))
+
+    async def test_polls_of_all_nodes(self):
+        for pause_s in PAUSES_S:
+            with self.subTest(pause_s=pause_s):
+                fixture = await self.start()
+                self.silence_store(fixture)
+                await asyncio.sleep(pause_s)
+                await self.assert_in_force(fixture, 2)
+                fixture.close()
+
+    async def test_next_request_is_silent_too(self):
+        for pause_s in PAUSES_S:
+            with self.subTest(pause_s=pause_s):
+                fixture = await self.start()
+                self.silence_store(fixture)
+                await asyncio.sleep(pause_s)
+                for host in fixture.host_by_name.values():
+                    host.store.silent_requests = 1
+                await self.assert_in_force(fixture, 2)
+                fixture.close()
+
+    async def test_links_are_silent_too(self):
+        for pause_s in PAUSES_S:
+            with self.subTest(pause_s=pause_s):
+                fixture = await self.start()
+                self.silence_store(fixture)
+                self.silence_links(fixture)
+                await asyncio.sleep(pause_s)
+                await self.assert_in_force(fixture, 2)
+                fixture.close()
+
+    async def test_change_while_a_node_hears_nothing(self):
+        """One node is alone: the store is silent, and so are its links."""
+        fixture = await self.start()
+        host = fixture.host_by_name['b1']
+        host.store.silence()
+        for channel in fixture.network.channels:
+            if 'b1' in {channel.local, channel.peer}:
+                channel.is_silent = True
+        await self.assert_in_force(fixture, 2)
+        fixture.close()
+
+    async def test_series_of_changes_and_silences(self):
+        fixture = await self.start()
+        for version in range(2, 8):
+            self.silence_store(fixture)
+            self.silence_links(fixture)
+            await self.assert_in_force(fixture, version)
+        fixture.close()
+
+
 class PolicyLogTest(VirtualTestCase):
     """The log tells which version decided a request (issue 43)."""
 
