Soak: silent connections to the store, changes in series, CONFIG checked

Each node reaches the store by a proxy of its own, which can silence open connections for good (with half an answer before, at times), delay or cut. Versions move a route, drop one and add one; probes of each node are compared with the versions that may be in force while it runs, at nodes that nothing harmed within 3 s.

--- a/bergamotmount/tests/test_soak.py
+++ b/bergamotmount/tests/test_soak.py
@@ -13,12 +13,9 @@
 from bergamotmount.tools.ports import PortAllocator
 from bergamotmount.tools.soak.deployment import NodeProcess
 from bergamotmount.tools.soak.ledger import Ledger, Promise
-from bergamotmount.tools.soak.peerproxy import Disturbance, PeerProxy
-from bergamotmount.tools.soak.soakrun import (
-    SoakOptions,
-    SoakRun,
-    node_breaches,
-)
+from bergamotmount.tools.soak.faultproxy import Disturbance, FaultProxy
+from bergamotmount.tools.soak.fleet import SoakOptions
+from bergamotmount.tools.soak.soakrun import SoakRun, node_breaches
 
 SOURCE = pathlib.Path(__file__).resolve().parents[2]
 
@@ -69,14 +66,14 @@
         self.assertEqual(promises, expected)
 
 
-class PeerProxyTest(unittest.IsolatedAsyncioTestCase):
+class FaultProxyTest(unittest.IsolatedAsyncioTestCase):
     """Connections to a node are harmed as told, and carried again after it."""
 
     async def asyncSetUp(self):
         self.target = await asyncio.start_server(self.echo, '127.0.0.1', 0)
         port = self.target.sockets[0].getsockname()[1]
         proxy_address = f'127.0.0.2:{port}'
-        self.proxy = PeerProxy(
+        self.proxy = FaultProxy(
             proxy_address, f'127.0.0.1:{port}', random.Random(1)
         )
         await self.proxy.start()
@@ -114,6 +111,21 @@
             self.proxy.disturb(Disturbance())
             self.assertEqual(await self.answered(1), b'b')
 
+    async def test_silenced_connection_carries_nothing_again(self):
+        """Its TCP stays up; half of what comes next may be carried."""
+        for passes_half, expected in ((True, b'ab'), (False, b'')):
+            await self.asyncTearDown()
+            await self.asyncSetUp()
+            self.writer.write(b'a')
+            self.assertEqual(await self.answered(1), b'a')
+            self.proxy.silence(passes_half)
+            for _ in range(2):
+                self.writer.write(b'abcd')
+                echoed = await self.answered(0.1)
+                self.assertEqual(echoed, expected[: len(expected) // 2])
+                expected = b''
+            self.assertFalse(self.reader.at_eof())
+
     async def test_connections_are_reset(self):
         self.writer.write(b'a')
         await self.answered(1)
@@ -163,6 +175,38 @@
         self.ledger.record_run('v-1', 'i-1')
         self.assertEqual(self.promises(), [Promise.DEPARTURE])
 
+    async def test_request_handled_by_an_older_version(self):
+        """Routes that moved, were dropped or were added followed version 1."""
+        self.ledger.record_change({'moving': 'a', 'dropped': 'a'})
+        await asyncio.sleep(1)
+        self.ledger.record_change({'moving': 'b', 'added': 'b'})
+        for wait_s, expected in ((1.9, 0), (0.2, 3)):
+            await asyncio.sleep(wait_s)
+            for route, status in (('moving', 200), ('dropped', 200)):
+                request = f'{route}-{wait_s}'
+                self.ledger.record_sent(request, 'node-1', True, route)
+                self.ledger.record_run(request, 'i-1', 'a')
+                self.ledger.record_end(request, status, is_own=True)
+            self.ledger.record_sent(f'added-{wait_s}', 'node-1', True, 'added')
+            self.ledger.record_end(f'added-{wait_s}', 404, is_own=True)
+            self.assertEqual(len(self.promises()), expected)
+            self.assertLessEqual(
+                set(self.promises()), {Promise.POLICY_IN_FORCE}
+            )
+
+    async def test_harmed_node_is_excused_for_a_while(self):
+        self.ledger.record_change({'moving': 'a'})
+        self.ledger.record_change({'moving': 'b'})
+        await asyncio.sleep(5)
+        for wait_s, expected in ((0, 0), (3.1, 1)):
+            if not expected:
+                self.ledger.record_harm('node-1')
+            await asyncio.sleep(wait_s)
+            self.ledger.record_sent(f'm-{wait_s}', 'node-1', True, 'moving')
+            self.ledger.record_run(f'm-{wait_s}', 'i-1', 'a')
+            self.ledger.record_end(f'm-{wait_s}', 200, is_own=True)
+            self.assertEqual(len(self.promises()), expected)
+
     async def test_request_cut_by_a_stop(self):
         for has_fault in (False, True):
             self.ledger = Ledger(LoopClock())
--- a/bergamotmount/tools/soak/__main__.py
+++ b/bergamotmount/tools/soak/__main__.py
@@ -8,7 +8,8 @@
 import sys
 
 from bergamotmount.tools.soak.callers import THINK_S
-from bergamotmount.tools.soak.soakrun import SoakOptions, SoakOutcome, SoakRun
+from bergamotmount.tools.soak.fleet import SoakOptions
+from bergamotmount.tools.soak.soakrun import SoakOutcome, SoakRun
 
 HERE = pathlib.Path(__file__).resolve().parents[3]
 
@@ -27,6 +28,7 @@
             arguments.fixed,
             not arguments.direct,
             arguments.think,
+            tuple(arguments.fault or ()),
         )
         outcome = asyncio.run(SoakRun(options).play())
         is_broken = is_broken or bool(outcome.breaches)
@@ -75,6 +77,12 @@
         metavar='SECONDS',
         help='pause of callers after each answer, longer for many nodes',
     )
+    add(
+        '--fault',
+        action='append',
+        metavar='NAME',
+        help='inject only this fault, such as silence-store; several add up',
+    )
     add('--keep', action='store_true', help='keep the logs of clean runs too')
     return parser
 
--- a/bergamotmount/tools/soak/callers.py
+++ b/bergamotmount/tools/soak/callers.py
@@ -1,9 +1,10 @@
-"""Callers of a node: orders one by one, and pipelined idempotent requests."""
+"""Callers of a node: orders, pipelined idempotent requests, and probes."""
 
 import asyncio
 import contextlib
 import itertools
 import random
+from collections.abc import Callable
 
 from bergamotmount.clock import MS_PER_SECOND
 from bergamotmount.forwarding.http import header_of, pack_request
@@ -25,6 +26,9 @@
 SLOW_SHARE = 0.03
 MAX_SLOW_S = 2
 
+#: Pause after the answer to a probe.
+PROBE_PAUSE_S = 0.1
+
 #: Requests that a caller sends before it reads the first response.
 PIPELINED = 3
 
@@ -80,6 +84,13 @@
                 await self._exchange('GET', 'view', count)
                 await asyncio.sleep(self._think_s)
 
+    async def send_probes(self, choose_route: Callable[[], str]) -> None:
+        """Send idempotent requests for routes that changes concern."""
+        with contextlib.closing(self):
+            while True:
+                await self._exchange('GET', choose_route(), count=1)
+                await asyncio.sleep(PROBE_PAUSE_S)
+
     def close(self) -> None:
         """Close the connection if there is one."""
         if self._connection is not None:
@@ -128,7 +139,7 @@
         self._connection.send(packed[:end])
         if is_slow:
             await asyncio.sleep(self._rng.uniform(0, MAX_SLOW_S))
-        self._ledger.record_sent(request, self._node, is_idempotent)
+        self._ledger.record_sent(request, self._node, is_idempotent, route)
         self._connection.send(packed[end:])
         return request
 
--- a/bergamotmount/tools/soak/deployment.py
+++ b/bergamotmount/tools/soak/deployment.py
@@ -164,6 +164,7 @@
             'platform.platform.form=log',
             'platform.platform.keep_s=20',
             'terms.bounds.grace_s=6',
+            'terms.bounds.config_apply_s=2',
             'terms.bounds.drain_s=2',
             'terms.bounds.retry_budget_ratio=0.2',
             'terms.bounds.budget_window_s=10',
--- a/bergamotmount/tools/soak/peerproxy.py
+++ b/bergamotmount/tools/soak/faultproxy.py
@@ -1,7 +1,8 @@
-"""Proxy in front of one node, which harms connections of other nodes to it.
+"""Proxy in front of a node or the store, which harms connections to it.
 
-The bytes that are held back come late, in order, once a disturbance ends: a
-network that was cut sends again what it has lost.
+The bytes that a disturbance holds back come late, in order, once it ends: a
+network that was cut sends again what it has lost. A connection that was
+silenced stays open and never carries anything again; new ones work.
 """
 
 import asyncio
@@ -55,6 +56,8 @@
 
     writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
     draw: float
+    is_silent: bool = False
+    passes_half: bool = False
 
     def reset(self) -> None:
         for writer in self.writers:
@@ -68,8 +71,8 @@
     writer.transport.abort()
 
 
-class PeerProxy:
-    """Listens at one address, and connects to the node at another."""
+class FaultProxy:
+    """Listens at one address, and connects to what listens at another."""
 
     def __init__(self, address: str, target: str, rng: random.Random) -> None:
         """Carry bytes as they come until there is a disturbance."""
@@ -82,7 +85,7 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen for other nodes."""
+        """Listen for connections to harm."""
         host, _, port = self.address.rpartition(':')
         self._server = await asyncio.start_server(self._carry, host, int(port))
 
@@ -92,6 +95,15 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def silence(self, passes_half: bool = False) -> None:
+        """Silence the connections that are open now, for good.
+
+        With ``passes_half`` each carries half of its next chunk before that.
+        """
+        for carried in self._carried:
+            carried.is_silent = True
+            carried.passes_half = passes_half
+
     def reset_some(self) -> None:
         """Reset a part of the connections."""
         for carried in list(self._carried):
@@ -131,6 +143,8 @@
         try:
             # The first end that closes ends the connection for the other too.
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            if carried.is_silent:
+                await asyncio.wait(pumps)
         finally:
             for pump in pumps:
                 pump.cancel()
@@ -148,10 +162,22 @@
             chunk = await reader.read(_CHUNK_BYTES)
             while chunk:
                 await self._hold(carried, direction)
+                if carried.is_silent:
+                    await self._end_in_silence(carried, writer, chunk)
                 writer.write(chunk)
                 await writer.drain()
                 chunk = await reader.read(_CHUNK_BYTES)
 
+    async def _end_in_silence(
+        self,
+        carried: _Carried,
+        writer: asyncio.StreamWriter,
+        chunk: bytes,
+    ) -> None:
+        if carried.passes_half:
+            writer.write(chunk[: len(chunk) // 2])
+        await asyncio.Event().wait()
+
     async def _hold(self, carried: _Carried, direction: str) -> None:
         """Wait as long as the present disturbance holds bytes back."""
         while True:
--- a/bergamotmount/tools/soak/standinserver.py
+++ b/bergamotmount/tools/soak/standinserver.py
@@ -218,7 +218,9 @@
             self._write(refusal, 'repeats_refusals')
             return
         async with server.free_slots:
-            server.ledger.record_run(request_id, server.instance)
+            server.ledger.record_run(
+                request_id, server.instance, server.service
+            )
             work_ms = WORK_MS * server.misbehaviour.slowdown
             await asyncio.sleep(work_ms / MS_PER_SECOND)
         self._write_answer(request_id)
