Check in time that no newer version of the policy exists

Callers saw requests follow an older version, up to 22.5 s after a change was acknowledged, at all nodes.

Cause: each node had one way to hear of a version, a long poll of 20 s on one connection, and took its silence for a quiet store. If the connections of all nodes go silent, nobody has news that heartbeats could spread. The same class on the same path: every request to the store waited 2,500 ms for one connection, which could be one that had been kept.

Now: (1) PolicyWatch checks the version again and again. After each check a node draws the age at which it reads the store itself, 25 to 50 % of config_apply_s; what one reads is passed along the ring in heartbeats, dated by the measured way, and the others draw anew. Who hears nothing reads alone. (2) A request to the store without an answer for 15 % of config_apply_s is sent again on a new connection, three times at most; the first answer counts, and a slow store isn't asked more often. Latest: half of the bound, two silent requests, one answered: 0.8 of config_apply_s. (3) A long poll that lacks a version which other ways brought is replaced; the first poll after a failure doesn't wait. (4) Each request to the store has a connection of its own.

--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -123,11 +123,14 @@
             self.heartbeats.send_now,
             self._may_probe,
         )
-        self._policy_access = PolicyAccess(options, ports, self._on_policy)
+        self._policy_access = PolicyAccess(
+            options, ports, self._on_policy, self.heartbeats.send_reports
+        )
+        store = self._policy_access.store
         self.policy_source = self._policy_access.source
         self.directory = Directory(
             clock,
-            ports.store,
+            store,
             self.members,
             rng,
             self.quarantine.poison_requests.learn,
@@ -143,7 +146,7 @@
             self.policy_source.organisation_by_name,
         )
         self._crash_publisher = CrashPublisher(
-            clock, ports.store, self.quarantine.poison_requests, rng
+            clock, store, self.quarantine.poison_requests, rng
         )
         self._health_checker = HealthChecker(
             clock, ports.pool_factory, options.header_names
@@ -178,6 +181,7 @@
             self.heartbeats.run,
             self.policy_source.run,
             self._policy_access.verifier.run,
+            self._policy_access.watch.run,
             self._follow_directory,
             self._crash_publisher.run,
             self._run_periodic_checks,
@@ -291,6 +295,8 @@
         )
         self._reports = NodeReports(
             self.policy_source,
+            self._policy_access.watch,
+            self.heartbeats.send_reports,
             self.threshold_controller,
             self.threshold_view,
             self.admission,
--- a/bergamotmount/forwarding/options.py
+++ b/bergamotmount/forwarding/options.py
@@ -12,6 +12,7 @@
     PoolFactory,
 )
 from bergamotmount.forwarding.policysource import PolicyParser
+from bergamotmount.forwarding.policywatch import APPLY_MS
 from bergamotmount.forwarding.retrybudget import RetryBudgetOptions
 from bergamotmount.forwarding.store import KeyedStore
 from bergamotmount.heartbeats import HeartbeatTimes
@@ -39,7 +40,8 @@
     ``service`` is the local service until a backend server announces its
     own. A server that isn't announced for ``lease_ms`` counts as absent.
     Keys are accepted for ``policy_lease_ms`` after the policy was known to be
-    the newest. ``is_first_start`` tells that all nodes start at the same time.
+    the newest. A published policy has to be in force after ``policy_apply_ms``.
+    ``is_first_start`` tells that all nodes start at the same time.
     """
 
     service: str
@@ -50,6 +52,7 @@
     heartbeat: HeartbeatTimes = HeartbeatTimes()
     is_first_start: bool = False
     policy_lease_ms: float = math.inf
+    policy_apply_ms: float = APPLY_MS
     quota: QuotaOptions = QuotaOptions()
 
 
--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -58,35 +58,57 @@
     era: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicySourceDependencies:
+    """Objects of the node that a source uses.
+
+    ``on_update`` is called after each new version, ``on_check`` after each
+    read that was made to check the version. ``freshness`` gets the
+    evidence that the active version is the newest, which the store gives only
+    in an era that is settled.
+    """
+
+    store: KeyedStore
+    parser: PolicyParser
+    on_update: Callable[[], None]
+    on_check: Callable[[], None]
+    freshness: PolicyFreshness
+    settlement: StoreSettlement
+
+
 class RoutePolicySource:
     """Holds the newest valid route policy that this node has received."""
 
     def __init__(
         self,
         clock: Clock,
-        store: KeyedStore,
-        parser: PolicyParser,
+        deps: PolicySourceDependencies,
         rng: random.Random,
-        on_update: Callable[[], None],
-        freshness: PolicyFreshness,
-        settlement: StoreSettlement,
+        silence_ms: float,
     ) -> None:
-        """Start without a policy; call ``on_update`` after each new version.
+        """Start without a policy.
 
-        ``freshness`` gets the evidence that the active version is the newest,
-        which the store gives only in an era that is settled.
+        A long poll that lacks a known version for ``silence_ms`` is replaced.
         """
         self.table: RouteTable | None = None
         self.is_store_reachable: bool | None = None
+        #: Whether the long poll has failed, and pauses before its next try.
+        self.is_retrying = False
+        #: Latest time of sending a read that the store has answered.
+        self.answered_ms = -math.inf
         self._has_table = asyncio.Event()
         self._record = b''
         self._clock = clock
-        self._store = store
-        self._parser = parser
-        self._on_update = on_update
-        self._freshness = freshness
-        self._settlement = settlement
-        self._has_unreadable_record = False
+        self._store = deps.store
+        self._parser = deps.parser
+        self._on_update = deps.on_update
+        self._on_check = deps.on_check
+        self._freshness = deps.freshness
+        self._settlement = deps.settlement
+        self.has_unreadable_record = False
+        self._silence_ms = silence_ms
+        self._polled_version = -1
+        self._poll_is_silent = asyncio.Event()
         self._rejected_version = -1
         self._position: _Position | None = None
         self._rng = rng
@@ -134,9 +156,11 @@
             except LogError as error:
                 self._set_reachable(is_reachable=False, detail=str(error))
                 self._failures += 1
+                self.is_retrying = True
                 await self._clock.sleep(
                     store_backoff_ms(self._failures, self._rng)
                 )
+                self.is_retrying = False
             else:
                 self._failures = 0
                 self._set_reachable(is_reachable=True, detail='')
@@ -144,7 +168,9 @@
     async def verify(self) -> None:
         """Read the store without waiting, for evidence on the policy.
 
-        Raise :class:`~bergamotmount.ports.LogError` if it gives no answer.
+        A long poll that lacks what was read is replaced: its connection has
+        gone silent. Raise :class:`~bergamotmount.ports.LogError` if the store
+        gives no answer.
         """
         position = self._position
         sent_ms = self._clock.now_ms()
@@ -155,7 +181,11 @@
                 page = await self._store.follow_policy(position.offset, 0)
             except OffsetExpiredError:
                 page = await self._store.newest_policy()
+        version = self.version
         self._apply_page(page, sent_ms)
+        if self.version > version:
+            self._expect_poll_to_bring(self.version)
+        self._on_check()
 
     def learn_evidence(
         self, evidence: PolicyEvidence | None, asked_ms: float | None
@@ -188,7 +218,10 @@
 
     def install_state(self, state: PolicyState) -> None:
         """Install the record of a peer if it is valid and newer."""
+        version = self.version
         self.apply_record(state.state, 'peer')
+        if self.version > version:
+            self._expect_poll_to_bring(self.version)
         if self.version < state.offset:
             self._rejected_version = max(state.offset, self._rejected_version)
 
@@ -198,7 +231,7 @@
             policy = self._parser(record)
         except PolicyError as error:
             _log.warning('Policy record from {} rejected: {}.', source, error)
-            self._has_unreadable_record = True
+            self.has_unreadable_record = True
             return
         if policy.version <= self.version:
             if record != self._record:
@@ -221,7 +254,7 @@
         self.table = RouteTable(policy)
         self._has_table.set()
         self._record = record
-        self._has_unreadable_record = False
+        self.has_unreadable_record = False
         events.policy_accepted.send(self, offset=policy.version)
         self._on_update()
 
@@ -234,10 +267,23 @@
         else:
             page = await self._follow(position)
         self._apply_page(page, sent_ms)
+        self._polled_version = max(self.version, self._polled_version)
+
+    def _expect_poll_to_bring(self, version: int) -> None:
+        """Replace the long poll unless it soon brings a version, too."""
+        self._clock.call_later(
+            self._silence_ms, self._replace_silent_poll, version
+        )
+
+    def _replace_silent_poll(self, version: int) -> None:
+        if self._polled_version < version:
+            _log.info('Long poll without version {}: replaced.', version)
+            self._poll_is_silent.set()
 
     def _apply_page(self, page: StorePage, sent_ms: float) -> None:
         for record in page.records:
             self.apply_record(record, 'store')
+        self.answered_ms = max(sent_ms, self.answered_ms)
         self._settlement.observe(page.era)
         if self._is_evidence(page, sent_ms):
             self._freshness.record(sent_ms)
@@ -251,26 +297,35 @@
         return (
             self._settlement.is_settled(sent_ms)
             and page.is_complete
-            and not self._has_unreadable_record
+            and not self.has_unreadable_record
             and self.table is not None
         )
 
     async def _follow(self, position: _Position) -> StorePage:
-        """Return the next records; stop waiting when the era rises."""
+        """Return the next records; stop waiting when the era rises.
+
+        Stop too when other sources have shown that the connection is silent.
+        The first read after a failure doesn't wait: it tells at once that the
+        store is back.
+        """
+        wait_ms = 0 if self._failures else LONG_POLL_MS
+        self._poll_is_silent.clear()
         reading = asyncio.ensure_future(
-            self._store.follow_policy(position.offset, LONG_POLL_MS)
+            self._store.follow_policy(position.offset, wait_ms)
         )
         rising = asyncio.ensure_future(self._store.era.wait_past(position.era))
+        replaced = asyncio.ensure_future(self._poll_is_silent.wait())
         try:
             await asyncio.wait(
-                (reading, rising), return_when=asyncio.FIRST_COMPLETED
+                (reading, rising, replaced),
+                return_when=asyncio.FIRST_COMPLETED,
             )
             page = reading.result() if reading.done() else None
         except OffsetExpiredError:
             page = None
         finally:
-            reading.cancel()
-            rising.cancel()
+            for task in (reading, rising, replaced):
+                task.cancel()
         if page is None:
             self._position = None
             return StorePage([], position.offset, position.era, False)
--- a/bergamotmount/forwarding/policyverifier.py
+++ b/bergamotmount/forwarding/policyverifier.py
@@ -18,7 +18,7 @@
 
 #: Range of the age of the evidence at which a node reads the store, as shares
 #: of the lease.
-MIN_READ_AGE_SHARE = 0.1
+MIN_READ_AGE_SHARE = 0.25
 MAX_READ_AGE_SHARE = 0.5
 
 #: Out of this number of draws, the highest age counts.
--- a/bergamotmount/heartbeats.py
+++ b/bergamotmount/heartbeats.py
@@ -20,9 +20,8 @@
 
 from bergamotmount import events
 from bergamotmount.clock import Clock
-from bergamotmount.linkpool import (
-    LinkPool,
-)
+from bergamotmount.heartbeatpeer import HeartbeatPeer
+from bergamotmount.linkpool import LinkPool
 from bergamotmount.member import GONE, Member, MemberState
 from bergamotmount.membership import Members
 from bergamotmount.messages import Heartbeat
@@ -63,16 +62,6 @@
     gone_ms: int = 1500
 
 
-@dataclasses.dataclass(slots=True)
-class _Peer:
-    """State of the heartbeat exchange with one node."""
-
-    address: str
-    received_ms: float
-    sync: SyncState
-    update_by_node: dict[str, Member] = dataclasses.field(default_factory=dict)
-
-
 class Heartbeats:
     """Exchanges heartbeats and updates the member table from them."""
 
@@ -99,7 +88,7 @@
         self._times = times
         self._add_node_state = add_node_state
         self._sequence = itertools.count()
-        self._peer_by_node: dict[str, _Peer] = {}
+        self._peer_by_node: dict[str, HeartbeatPeer] = {}
         self._task_by_node: dict[str, asyncio.Task] = {}
         self._interval_by_node: dict[str, float] = {}
         self._suspected_ms_by_node: dict[str, float] = {}
@@ -141,6 +130,17 @@
         self._is_round_requested = True
         self._send_requested.set()
 
+    def send_reports(self, sender: str = '') -> None:
+        """Send a heartbeat that asks for no reply to all fingers, at once.
+
+        With a ``sender`` of such a heartbeat it is passed on to the fingers
+        that this sender leaves to this node.
+        """
+        ring = self._ring
+        targets = ring.forward_targets(sender) if sender else ring.fingers
+        for target in targets:
+            self._send_to(target.node, reply=True)
+
     def send_final_updates(self) -> None:
         """Send the queued updates before this node stops."""
         self._send_updates()
@@ -151,14 +151,17 @@
             return []
         sender = heartbeat.members[0]
         peer = self._peer_of(sender)
-        peer.received_ms = self._clock.now_ms()
+        peer.record_received(heartbeat, self._clock.now_ms())
         for update in heartbeat.members:
             self._apply_update(update, sender.node)
         self._suspected_ms_by_node.pop(sender.node, None)
-        self._inform_of_itself(sender, peer)
+        known = self._members.member_by_node[sender.node]
+        peer.queue_if_newer(known, sender)
         return self._replies_to(heartbeat, peer)
 
-    def _replies_to(self, heartbeat: Heartbeat, peer: _Peer) -> list[Heartbeat]:
+    def _replies_to(
+        self, heartbeat: Heartbeat, peer: HeartbeatPeer
+    ) -> list[Heartbeat]:
         node = heartbeat.members[0].node
         differing = self._table_sync.differing_members(heartbeat.buckets)
         replies = []
@@ -181,11 +184,11 @@
             replies.append(request)
         return replies
 
-    def _peer_of(self, member: Member) -> _Peer:
+    def _peer_of(self, member: Member) -> HeartbeatPeer:
         peer = self._peer_by_node.get(member.node)
         if peer is None or peer.address != member.address:
             now_ms = self._clock.now_ms()
-            peer = _Peer(member.address, now_ms, SyncState(now_ms))
+            peer = HeartbeatPeer(member.address, now_ms, SyncState(now_ms))
             self._peer_by_node[member.node] = peer
         return peer
 
@@ -213,15 +216,6 @@
                 peer.update_by_node[update.node] = update
         self._send_requested.set()
 
-    def _inform_of_itself(self, sender: Member, peer: _Peer) -> None:
-        """Queue what is known of the sender if that is newer than its own.
-
-        The sender can refute a false suspicion once it knows of it.
-        """
-        known = self._members.member_by_node[sender.node]
-        if known.freshness > sender.freshness:
-            peer.update_by_node[known.node] = known
-
     def _make_heartbeat(
         self,
         node: str,
@@ -241,6 +235,10 @@
             heartbeat.members.extend(peer.update_by_node.values())
             peer.update_by_node.clear()
         self._add_node_state(heartbeat)
+        if peer is None:
+            heartbeat.policy_age_ms = None
+        else:
+            peer.add_way(heartbeat)
         return heartbeat
 
     def _send_to(self, node: str, reply: bool = False) -> None:
--- a/bergamotmount/messages.py
+++ b/bergamotmount/messages.py
@@ -104,7 +104,9 @@
 
     ``sent_ms`` is the time on the sender's clock, which a reply repeats as
     ``echoed_ms``. ``evidence`` is what the sender knows of the newest policy.
-    Each is ``None`` if there is none. ``omitted`` is how many members and
+    ``policy_age_ms`` is how long ago no version newer than ``policy_offset``
+    existed, counted from when the heartbeat is received. Each is ``None`` if
+    there is none. ``omitted`` is how many members and
     reports of a received heartbeat couldn't be used.
     """
 
@@ -125,6 +127,7 @@
     sent_ms: float | None = None
     echoed_ms: float | None = None
     evidence: PolicyEvidence | None = None
+    policy_age_ms: int | None = None
     omitted: int = 0
 
 
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -226,6 +226,7 @@
         header_names=HEADERS,
         is_first_start=settings.is_first_start,
         policy_lease_ms=lease_for(settings.key_withdrawal_ms),
+        policy_apply_ms=settings.policy_apply_ms,
         quota=settings.quota,
     )
 
--- a/bergamotmount/platform/settings.py
+++ b/bergamotmount/platform/settings.py
@@ -9,6 +9,7 @@
 import math
 
 from bergamotmount.fieldchecks import is_address, is_name, is_port
+from bergamotmount.forwarding.policywatch import APPLY_MS
 from bergamotmount.organisations.quotaowner import QuotaOptions
 from bergamotmount.settingserror import SettingsError
 
@@ -31,7 +32,8 @@
     ``announce_interval_ms`` is the time between two announcements of a
     server, ``termination_grace_ms`` the time from SIGTERM to SIGKILL.
     ``key_withdrawal_ms`` is the time after which no node may accept a key that
-    was withdrawn, infinite if nodes that are cut off may. ``quota`` is what is
+    was withdrawn, infinite if nodes that are cut off may. A published policy
+    has to be in force after ``policy_apply_ms``. ``quota`` is what is
     tolerated beyond the quotas of organisations.
     ``is_first_start`` tells that the whole deployment starts for the first
     time.
@@ -56,6 +58,7 @@
     retry_slack: float
     is_first_start: bool = False
     key_withdrawal_ms: float = math.inf
+    policy_apply_ms: float = APPLY_MS
     quota: QuotaOptions = QuotaOptions()
 
 
@@ -113,6 +116,10 @@
             if fields.flag('terms.bounds.revoke_strict')
             else math.inf
         ),
+        policy_apply_ms=fields.interval(
+            'terms.bounds.config_apply_s',
+            default=f'{APPLY_MS / _MS_PER_SECOND}',
+        ),
         quota=QuotaOptions(
             fields.interval('terms.bounds.quota_window_s', default='5'),
             fields.number('terms.bounds.quota_overage', default='0'),
--- a/bergamotmount/platform/store.py
+++ b/bergamotmount/platform/store.py
@@ -223,10 +223,15 @@
         return era
 
     async def _exchange(self, request: bytes) -> HttpResponse:
-        connection = await self._pool.acquire(is_fresh=True)
+        """Return the response on a connection of its own.
+
+        One that was kept may have gone silent since.
+        """
+        connection = await self._pool.acquire()
         try:
             return await connection.exchange(request, lambda _: True)
         finally:
+            connection.close()
             self._pool.release(connection)
 
 
--- a/bergamotmount/tests/forwardingfixture.py
+++ b/bergamotmount/tests/forwardingfixture.py
@@ -46,6 +46,9 @@
 
 HEADER_NAMES = HeaderNames()
 
+#: Time in which a published policy has to be in force.
+APPLY_MS = 2000
+
 #: Path of the health checks in the policy of tests.
 HEALTH_PATH = '/'
 
@@ -226,6 +229,7 @@
                 stop=StopTimes(2500, 5300),
                 is_first_start=self.incarnation == 1,
                 policy_lease_ms=self.fixture.policy_lease_ms,
+                policy_apply_ms=APPLY_MS,
                 quota=self.fixture.quota,
             ),
             ForwardingPorts(
--- a/bergamotmount/tests/test_oddprocesses.py
+++ b/bergamotmount/tests/test_oddprocesses.py
@@ -15,7 +15,8 @@
 from bergamotmount.tools.soak.httpcaller import ask
 from bergamotmount.tools.soak.ledger import Ledger
 from bergamotmount.tools.soak.oddwriter import OddWriter
-from bergamotmount.tools.soak.soakrun import make_policy, node_breaches
+from bergamotmount.tools.soak.operators import make_policy
+from bergamotmount.tools.soak.soakrun import node_breaches
 from bergamotmount.tools.soak.standinserver import (
     ServerAddresses,
     StandinServer,
@@ -31,6 +32,8 @@
 #: Number of odd entries, announcements and other input of each kind.
 ODD_INPUTS = 30
 
+SERVICE_BY_ROUTE = {'order': 'desk', 'view': 'board'}
+
 DEEP_ENTRY = b'["10.0.0.1:1","r","f",1,0,' + b'[' * 5000 + b']' * 5000 + b']'
 
 
@@ -49,7 +52,7 @@
         self.store_address = f'{HOST}:{self.ports.take()}'
         await self.store.start(self.store_address)
         self.addCleanup(self.store.close)
-        self.store.publish(make_policy(1, self.rng))
+        self.store.publish(make_policy(1, SERVICE_BY_ROUTE, self.rng))
         self.nodes: list[NodeProcess] = []
 
     async def asyncTearDown(self):
@@ -111,7 +114,7 @@
         for version in range(2, ODD_INPUTS):
             writer.write_entry(first)
             writer.write_policy()
-            self.store.publish(make_policy(version, self.rng))
+            self.store.publish(make_policy(version, SERVICE_BY_ROUTE, self.rng))
             await writer.send(first, 'i-0')
         second = await self.start_node('board')
         await self.assert_finds(first, 'view')
--- a/bergamotmount/wire/gen/ttypes.py
+++ b/bergamotmount/wire/gen/ttypes.py
@@ -1174,6 +1174,7 @@
      - echoed_ms
      - evidence_version
      - evidence_age_ms
+     - policy_age_ms
 
     """
 
@@ -1195,10 +1196,11 @@
         'echoed_ms',
         'evidence_version',
         'evidence_age_ms',
+        'policy_age_ms',
     )
 
 
-    def __init__(self, sequence=None, reply=None, members=None, digest=None, policy_offset=None, thresholds=None, full=None, release=None, threshold=None, load_permille=None, buckets=None, calls=None, crashes=None, sent_ms=None, echoed_ms=None, evidence_version=None, evidence_age_ms=None,):
+    def __init__(self, sequence=None, reply=None, members=None, digest=None, policy_offset=None, thresholds=None, full=None, release=None, threshold=None, load_permille=None, buckets=None, calls=None, crashes=None, sent_ms=None, echoed_ms=None, evidence_version=None, evidence_age_ms=None, policy_age_ms=None,):
         self.sequence = sequence
         self.reply = reply
         self.members = members
@@ -1216,6 +1218,7 @@
         self.echoed_ms = echoed_ms
         self.evidence_version = evidence_version
         self.evidence_age_ms = evidence_age_ms
+        self.policy_age_ms = policy_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1340,6 +1343,11 @@
                     self.evidence_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I32:
+                    self.policy_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1433,6 +1441,10 @@
             oprot.writeFieldBegin('evidence_age_ms', TType.I32, 17)
             oprot.writeI32(self.evidence_age_ms)
             oprot.writeFieldEnd()
+        if self.policy_age_ms is not None:
+            oprot.writeFieldBegin('policy_age_ms', TType.I32, 18)
+            oprot.writeI32(self.policy_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2110,6 +2122,7 @@
     (15, TType.DOUBLE, 'echoed_ms', None, None, ),  # 15
     (16, TType.I64, 'evidence_version', None, None, ),  # 16
     (17, TType.I32, 'evidence_age_ms', None, None, ),  # 17
+    (18, TType.I32, 'policy_age_ms', None, None, ),  # 18
 )
 all_structs.append(QuotaRequest)
 QuotaRequest.thrift_spec = (
--- a/bergamotmount/wire/heartbeatcodec.py
+++ b/bergamotmount/wire/heartbeatcodec.py
@@ -80,6 +80,7 @@
         reportcodec.crashes_to_wire(heartbeat.crashes),
         heartbeat.sent_ms,
         heartbeat.echoed_ms,
+        policy_age_ms=heartbeat.policy_age_ms,
     )
     reportcodec.add_evidence(wire, heartbeat.evidence)
     return wire
@@ -106,6 +107,7 @@
         sent_ms=reportcodec.finite_or_none(wire.sent_ms),
         echoed_ms=reportcodec.finite_or_none(wire.echoed_ms),
         evidence=reportcodec.evidence_from_wire(wire),
+        policy_age_ms=reportcodec.age_or_none(wire.policy_age_ms),
     )
     for received, used in (
         (wire.members, heartbeat.members),
--- a/bergamotmount/wire/messages.thrift
+++ b/bergamotmount/wire/messages.thrift
@@ -103,6 +103,7 @@
   15: double echoed_ms
   16: i64 evidence_version
   17: i32 evidence_age_ms
+  18: i32 policy_age_ms
 }
 
 struct QuotaRequest {
--- a/bergamotmount/wire/reportcodec.py
+++ b/bergamotmount/wire/reportcodec.py
@@ -116,6 +116,11 @@
     return PolicyEvidence(wire.evidence_version, wire.evidence_age_ms)
 
 
+def age_or_none(age_ms: int | None) -> int | None:
+    """Return an age, ``None`` without a usable one."""
+    return age_ms if age_ms is not None and age_ms >= 0 else None
+
+
 def threshold_or_admit_all(rank: float | None) -> float:
     """Return a threshold; without a usable one, everything is admitted."""
     # Nodes of an older release don't send this field.
