Repeat unanswered reads of the log of the product's own interface

Each read now has a connection of its own and is repeated after 450 ms without an answer; polls wait 1 s (two nodes of each failure domain poll, as before: 2 reads a second for each domain). An append isn't repeated: its caller reads first.

The repeating is a component of its own, Repeater, for both services.

--- a/bergamotmount/adapters/log.py
+++ b/bergamotmount/adapters/log.py
@@ -31,7 +31,9 @@
         Must be called in a running event loop.
         """
         self._base_url = base_url.rstrip('/')
-        self._session = aiohttp.ClientSession()
+        # A connection that was kept may have gone silent since.
+        connector = aiohttp.TCPConnector(force_close=True)
+        self._session = aiohttp.ClientSession(connector=connector)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/bergamotmount/distribution.py
+++ b/bergamotmount/distribution.py
@@ -47,7 +47,7 @@
     between checkpoints; it must be well below the retention time of the log.
     """
 
-    poll_ms: int = 2000
+    poll_ms: int = 1000
     spare_ms: int = 60_000
     retry_ms: int = 500
     checkpoint_ms: int = 600_000
--- a/bergamotmount/node.py
+++ b/bergamotmount/node.py
@@ -40,6 +40,7 @@
     Lost,
     Reply,
 )
+from bergamotmount.repeatinglog import RepeatingLog
 from bergamotmount.reasons import RefusalReason
 from bergamotmount.routing import Router
 from bergamotmount.serving import PeerServer
@@ -129,7 +130,7 @@
         )
         self.distribution = PolicyDistribution(
             clock,
-            ports.log,
+            RepeatingLog(clock, ports.log),
             self.members,
             rng,
             options.distribution,
--- a/bergamotmount/settings.py
+++ b/bergamotmount/settings.py
@@ -36,7 +36,7 @@
         'gone_ms': '1500',
     },
     'policy': {
-        'poll_ms': '2000',
+        'poll_ms': '1000',
         'spare_ms': '60000',
         'retry_ms': '500',
         'checkpoint_ms': '600000',
--- a/bergamotmount/tests/fakelog.py
+++ b/bergamotmount/tests/fakelog.py
@@ -7,6 +7,9 @@
 
 LOG_POLL_MS = 200
 
+#: Timeout of a read, in addition to the time that it asks to wait.
+READ_TIMEOUT_S = 3
+
 
 class FakeLog:
     """Append-only log in memory.
@@ -63,11 +66,21 @@
 
 
 class FakeLogView:
-    """The log as seen from one node, which a test can partition from it."""
+    """The log as seen from one node.
+
+    A test can partition the node from it, and silence the connections that
+    are open; new ones work.
+    """
 
     def __init__(self, log: FakeLog) -> None:
         self._log = log
         self.is_partitioned = False
+        self._silenced = asyncio.Event()
+
+    def silence(self) -> None:
+        """Silence the connections that are open now."""
+        self._silenced.set()
+        self._silenced = asyncio.Event()
 
     async def append(self, stream: str, body: bytes) -> int:
         self._check_reachable()
@@ -75,7 +88,11 @@
 
     async def read(self, stream: str, from_offset: int, wait_ms) -> LogPage:
         self._check_reachable()
+        silenced = self._silenced
         page = await self._log.read(stream, from_offset, wait_ms)
+        if silenced.is_set():
+            await asyncio.sleep(READ_TIMEOUT_S)
+            raise LogError('no answer')
         self._check_reachable()
         return page
 
--- a/bergamotmount/tests/test_policychanges.py
+++ b/bergamotmount/tests/test_policychanges.py
@@ -4,6 +4,10 @@
 
 import logbook
 
+from bergamotmount.clock import LoopClock
+from bergamotmount.ports import LogError
+from bergamotmount.repeater import Repeater
+from bergamotmount.tests.fakes import Simulation, record
 from bergamotmount.tests.forwardingfixture import (
     ForwardingFixture,
     make_forwarding_fixture,
@@ -15,6 +19,9 @@
 #: A version has to be in force this long after the store acknowledged it.
 APPLY_S = 2
 
+#: The same on the product's own interface.
+OWN_APPLY_S = 3
+
 #: Times between silence and change: at once, soon, and later than any check.
 PAUSES_S = (0, 0.5, 8)
 
@@ -103,6 +110,85 @@
         fixture.close()
 
 
+class SilentLogTest(VirtualTestCase):
+    """The same on the product's own interface, with a log service."""
+
+    async def test_reads_of_all_nodes(self):
+        for pause_s in PAUSES_S:
+            with self.subTest(pause_s=pause_s):
+                await self.check_change_after(pause_s)
+
+    async def check_change_after(self, pause_s: float) -> None:
+        """Publish a record some time after the silence of all connections."""
+        simulation = Simulation()
+        simulation.seeds = ('a1', 'a2')
+        for number in range(1, 5):
+            domain = f'fd-{number % 2}'
+            simulation.add_host(f'a{number}', 'a', domain).start()
+        await asyncio.sleep(5)
+        for host in simulation.host_by_name.values():
+            host.log.silence()
+        await asyncio.sleep(pause_s)
+        await simulation.publish(record('retries', {'per_request': 5}))
+        await asyncio.sleep(OWN_APPLY_S)
+        retries = [
+            host.node.distribution.policy.retries.per_request
+            for host in simulation.host_by_name.values()
+        ]
+        self.assertEqual(set(retries), {5})
+        simulation.close()
+
+
+class RepeaterTest(VirtualTestCase):
+    """What a request costs, and which of its answers counts."""
+
+    def setUp(self):
+        self.sent = 0
+        self.repeater = Repeater(LoopClock(), silence_ms=300)
+
+    def service(self, *answers: tuple[float, object]):
+        """Return a request; the n-th one is answered by the n-th answer."""
+
+        async def request() -> str:
+            self.sent += 1
+            delay_s, answer = answers[min(self.sent, len(answers)) - 1]
+            await asyncio.sleep(delay_s)
+            if isinstance(answer, Exception):
+                raise answer
+            return answer
+
+        return request
+
+    async def test_silence_and_then_silence(self):
+        started_s = asyncio.get_running_loop().time()
+        request = self.service((60, ''), (60, ''), (0.004, 'third'))
+        self.assertEqual(await self.repeater.ask(request), 'third')
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        self.assertAlmostEqual(elapsed_s, 0.604)
+
+    async def test_late_answer_counts(self):
+        """A slow store was asked again and again, and never answered."""
+        request = self.service((0.7, 'late'), (60, ''))
+        self.assertEqual(await self.repeater.ask(request), 'late')
+        self.sent = 0
+        self.assertEqual(await self.repeater.ask(request), 'late')
+        self.assertEqual(self.sent, 1)
+
+    async def test_refusal_is_raised_at_once(self):
+        refusal = (0.1, LogError('refused'))
+        for answers in ((refusal,), ((60, ''), refusal)):
+            self.sent = 0
+            with self.assertRaises(LogError):
+                await self.repeater.ask(self.service(*answers))
+            self.assertEqual(self.sent, len(answers))
+
+    async def test_poll_that_outlasts_its_wait(self):
+        poll = self.service((60, ''))
+        read = self.service((0, ''), (0, 'read'))
+        answer = await self.repeater.ask_waiting(poll, read, wait_ms=1000)
+        self.assertEqual(answer, 'read')
+
+
 class PolicyLogTest(VirtualTestCase):
     """The log tells which version decided a request (issue 43)."""
 
