--- a/bergamotmount/tests/forwardingmatrix.py
+++ b/bergamotmount/tests/forwardingmatrix.py
@@ -17,6 +17,7 @@
 import sys
 from collections.abc import Callable
 
+from bergamotmount.clock import MS_PER_SECOND
 from bergamotmount.forwarding.http import (
     NOT_RUN_STATUSES,
     HttpRequest,
@@ -29,6 +30,7 @@
 from bergamotmount.tests.faultmatrix import Cell
 from bergamotmount.tests.faults import FAULT_BY_NAME, FAULT_DURATION_S
 from bergamotmount.tests.forwardingfixture import (
+    APPLY_MS,
     HEADER_NAMES,
     ForwardingFixture,
     ForwardingHost,
@@ -318,6 +320,26 @@
     runner.simulation.store.publish(policy(*default_routes(), version=9))
 
 
+async def _silence_and_change(
+    runner: ForwardingCell, host: ForwardingHost
+) -> None:
+    """Silence all connections to the store and between nodes, and change.
+
+    New connections work. Alone, this must not delay the change.
+    """
+    fixture = runner.simulation
+    hosts = fixture.host_by_name.values()
+    for each in hosts:
+        each.store.silence()
+    for channel in fixture.network.channels:
+        channel.is_silent = True
+    fixture.store.publish(policy(*default_routes(), version=8))
+    await asyncio.sleep(APPLY_MS / MS_PER_SECOND)
+    versions = {each.node.policy_source.version for each in hosts}
+    if versions != {8} and len(runner.cell.faults) == 1:
+        runner.problems.append(f'versions {versions} in force, not 8')
+
+
 async def _stop_store(runner: ForwardingCell, host: ForwardingHost) -> None:
     runner.simulation.store.is_up = False
     await asyncio.sleep(FAULT_DURATION_S)
@@ -343,6 +365,7 @@
     'stop': _stop,
     'drain': _drain,
     'policy': _change_policy,
+    'silence-change': _silence_and_change,
     'store-down': _stop_store,
 }
 
--- a/bergamotmount/tests/test_forwardingmatrix.py
+++ b/bergamotmount/tests/test_forwardingmatrix.py
@@ -1,5 +1,6 @@
 """Tests with the fault matrix of the users' path, and with disabled guards."""
 
+import asyncio
 import concurrent.futures
 import contextlib
 import unittest
@@ -7,6 +8,7 @@
 from unittest import mock
 
 from bergamotmount import lifecycle, member
+from bergamotmount.forwarding.policywatch import PolicyWatch
 from bergamotmount.forwarding.sender import Sender
 from bergamotmount.forwarding.serverconnection import ServerConnection
 from bergamotmount.linkpool import LinkPool
@@ -49,6 +51,10 @@
         yield
 
 
+async def _never_check(_: PolicyWatch) -> None:
+    await asyncio.sleep(1)
+
+
 def _patch(target: object, name: str, replacement: object) -> Callable:
     return lambda: mock.patch.object(target, name, replacement)
 
@@ -66,6 +72,10 @@
         _no_departure_checks,
         'drain@accepted:home:many:1',
     ),
+    'the version is checked while the long poll is silent': (
+        _patch(PolicyWatch, '_check', _never_check),
+        'silence-change@accepted:home:many:1',
+    ),
     'silent connections are found while no call waits': (
         _patch(LinkPool, 'probe_all', lambda _: None),
         'silence@arrived Answer:entry:once:1',
