Test which checks of the policy count, how they age, and the bound's setting

PolicyWatchTest: a later check counts and is passed on once, a check of a newer version is none of this one, an unreadable record isn't passed on as checked, reads are few. HeartbeatAgeTest: the measured way is added, an unknown way lets no check pass. PolicySettingsTest: config_apply_s decides.

The soak's proxy ends the tasks of silent connections when it closes; they were reported as destroyed while pending at the end of a run.

--- a/bergamotmount/tests/test_platform.py
+++ b/bergamotmount/tests/test_platform.py
@@ -250,6 +250,25 @@
             self.assertEqual(packed.count(b'\r\n'), 3)
 
 
+class PolicySettingsTest(unittest.TestCase):
+    """How soon a policy has to be in force is the operators' bound."""
+
+    def test_bound_of_the_settings(self):
+        bound = 'terms.bounds.config_apply_s='
+        for text, expected_ms in (
+            (SETTINGS, 3000),
+            (f'{SETTINGS}{bound}2', 2000),
+            (f'{SETTINGS}{bound}2.5', 2500),
+        ):
+            settings = parse_platform_settings(text.splitlines())
+            self.assertEqual(settings.policy_apply_ms, expected_ms)
+
+    def test_bound_that_cannot_be_met(self):
+        text = f'{SETTINGS}terms.bounds.config_apply_s=0'
+        with self.assertRaises(SettingsError):
+            parse_platform_settings(text.splitlines())
+
+
 class WithdrawalSettingsTest(unittest.TestCase):
     """Withdrawal binds nodes that are cut off only if the operators say so."""
 
--- a/bergamotmount/tests/test_policychanges.py
+++ b/bergamotmount/tests/test_policychanges.py
@@ -1,12 +1,20 @@
 """Changes of the policy: when they are in force, and what the log tells."""
 
 import asyncio
+import random
+import unittest
+from unittest import mock
 
 import logbook
 
 from bergamotmount.clock import LoopClock
+from bergamotmount.forwarding.policywatch import PolicyTimes, PolicyWatch
+from bergamotmount.heartbeatpeer import HeartbeatPeer
+from bergamotmount.member import Member
+from bergamotmount.messages import Heartbeat
 from bergamotmount.ports import LogError
 from bergamotmount.repeater import Repeater
+from bergamotmount.tablesync import SyncState
 from bergamotmount.tests.fakes import Simulation, record
 from bergamotmount.tests.forwardingfixture import (
     ForwardingFixture,
@@ -14,6 +22,10 @@
 )
 from bergamotmount.tests.test_routetable import policy, route
 from bergamotmount.tests.virtualtime import VirtualTestCase
+from bergamotmount.wire.heartbeatcodec import (
+    heartbeat_from_wire,
+    heartbeat_to_wire,
+)
 
 
 #: A version has to be in force this long after the store acknowledged it.
@@ -139,6 +151,91 @@
         simulation.close()
 
 
+class PolicyWatchTest(VirtualTestCase):
+    """Which checks of peers count, and which are passed on."""
+
+    async def start(self) -> PolicyWatch:
+        """Return the watch of a node at version 1, checked a second ago."""
+        self.source = mock.Mock(
+            version=1, answered_ms=0, has_unreadable_record=False
+        )
+        watch = PolicyWatch(
+            LoopClock(), self.source, PolicyTimes.within(2000), random.Random(1)
+        )
+        await asyncio.sleep(1)
+        return watch
+
+    async def test_later_check_counts_and_is_passed_on_once(self):
+        watch = await self.start()
+        self.assertEqual(watch.age_to_relay(), 1000)
+        self.assertTrue(watch.hear(1, 20))
+        self.assertEqual(watch.age_to_relay(), 20)
+        self.assertFalse(watch.hear(1, 15))
+        self.assertEqual(watch.age_to_relay(), 15)
+
+    async def test_older_check_changes_nothing(self):
+        watch = await self.start()
+        self.assertFalse(watch.hear(1, 1500))
+        self.assertEqual(watch.age_to_relay(), 1000)
+
+    async def test_check_of_a_newer_version_is_none_of_this_one(self):
+        """The node must fetch it, and not take its own for the newest."""
+        watch = await self.start()
+        self.assertFalse(watch.hear(2, 0))
+        self.assertFalse(watch.hear(1, None))
+        self.assertEqual(watch.age_to_relay(), 1000)
+
+    async def test_unreadable_record_is_not_passed_on_as_checked(self):
+        """A peer of another release may be able to read it."""
+        watch = await self.start()
+        self.source.has_unreadable_record = True
+        self.assertIsNone(watch.age_to_relay())
+
+    async def test_reads_of_the_store_are_few(self):
+        """Each node read twice a second, and each read is priced."""
+        fixture = await make_forwarding_fixture()
+        hosts = fixture.host_by_name.values()
+        before = sum(host.store.reads for host in hosts)
+        await asyncio.sleep(10)
+        reads = sum(host.store.reads for host in hosts) - before
+        # One node after the other, each at the earliest moment, makes 20.
+        self.assertLessEqual(reads, 20)
+        fixture.close()
+
+
+class HeartbeatAgeTest(unittest.TestCase):
+    """The age of a check grows on its way to a peer."""
+
+    def setUp(self):
+        self.peer = HeartbeatPeer('10.0.0.1:1', 0, SyncState(0))
+
+    def heartbeat(self, **fields) -> Heartbeat:
+        """Return a heartbeat of any node."""
+        member = Member('n', '10.0.0.1:1', 'r', 'd', 1)
+        return Heartbeat(1, True, [member], 0, 7, **fields)
+
+    def test_way_is_added(self):
+        """A check on a slow link passed for a fresh one."""
+        self.peer.record_received(self.heartbeat(echoed_ms=100), 180.5)
+        heartbeat = self.heartbeat(policy_age_ms=40)
+        self.peer.add_way(heartbeat)
+        self.assertEqual(heartbeat.policy_age_ms, 121)
+
+    def test_unknown_way_lets_no_check_pass(self):
+        self.peer.record_received(self.heartbeat(), 100)
+        self.peer.record_received(self.heartbeat(echoed_ms=200), 150)
+        heartbeat = self.heartbeat(policy_age_ms=40)
+        self.peer.add_way(heartbeat)
+        self.assertIsNone(heartbeat.policy_age_ms)
+
+    def test_age_on_the_wire(self):
+        received_by_sent = {0: 0, 7: 7, None: None, -1: None}
+        for sent, received in received_by_sent.items():
+            wire = heartbeat_to_wire(self.heartbeat(policy_age_ms=sent))
+            heartbeat = heartbeat_from_wire(wire)
+            self.assertEqual(heartbeat.policy_age_ms, received)
+
+
 class RepeaterTest(VirtualTestCase):
     """What a request costs, and which of its answers counts."""
 
--- a/bergamotmount/tools/soak/faultproxy.py
+++ b/bergamotmount/tools/soak/faultproxy.py
@@ -56,6 +56,7 @@
 
     writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
     draw: float
+    pumps: list[asyncio.Task] = dataclasses.field(default_factory=list)
     is_silent: bool = False
     passes_half: bool = False
 
@@ -115,6 +116,8 @@
         self._server.close()
         for carried in list(self._carried):
             carried.reset()
+            for pump in carried.pumps:
+                pump.cancel()
 
     async def _carry(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -140,6 +143,7 @@
                 self._pump(carried, node_reader, writer, 'from_node')
             ),
         ]
+        carried.pumps.extend(pumps)
         try:
             # The first end that closes ends the connection for the other too.
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
