Count as a check only what has shown all records

A process that had read nothing yet told its peers the time of its start as a check, and a long poll that was given up (replaced, or its offset expired) counted as read when it was sent; either could put off the reads of others by up to half of config_apply_s. Both tests in PolicyWatchTest failed before (1000 is not None; 12787 is not 2787). A check that gains nothing is followed by a pause, where a page without all records would have been read again at once.

--- a/bergamotmount/forwarding/entry.py
+++ b/bergamotmount/forwarding/entry.py
@@ -30,13 +30,13 @@
     RequestOutcome,
 )
 from bergamotmount.forwarding.pendingrequest import PendingRequest
+from bergamotmount.forwarding.policywatch import PolicyWatch
 from bergamotmount.forwarding.routetable import Route, RouteTable, SplitPicker
 from bergamotmount.forwarding.sender import (
     ENTRY_ROLE,
     MIN_ATTEMPT_MS,
     Sender,
 )
-from bergamotmount.organisations.freshness import PolicyFreshness
 from bergamotmount.organisations.identity import Denied, Identified
 from bergamotmount.organisations.organisation import Organisation
 from bergamotmount.organisations.quotas import Quotas
@@ -94,7 +94,7 @@
     route_table: Callable[[], RouteTable | None]
     caller_check: CallerCheck
     quotas: Quotas
-    freshness: PolicyFreshness
+    policy_watch: PolicyWatch
 
 
 class Entry:
@@ -378,10 +378,10 @@
     def _describe_policy(self, version: int) -> dict[str, object]:
         """Return the fields that tell which policy decided, and its evidence.
 
-        ``policy_age_ms`` is the time since the active version was known to be
-        the newest.
+        ``policy_age_ms`` is the time since the active version was last found
+        to be the newest.
         """
-        age_ms = self._deps.freshness.age_ms
+        age_ms = self._deps.policy_watch.age_ms
         return {
             'policy': version,
             'policy_age_ms': 'none' if math.isinf(age_ms) else round(age_ms),
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -348,7 +348,7 @@
                 self._route_table,
                 self._policy_access.caller_check,
                 self._quotas,
-                self._policy_access.freshness,
+                self._policy_access.watch,
             ),
             self.options.header_names,
             counters,
@@ -371,6 +371,8 @@
         counters, freshness = self.ports.counters, self._policy_access.freshness
         counters.watch('policy_evidence_age_ms', lambda: freshness.age_ms)
         counters.watch('policy_version', lambda: self.policy_source.version)
+        watch = self._policy_access.watch
+        counters.watch('policy_check_age_ms', lambda: watch.age_ms)
         counters.watch('quota_tokens_held', lambda: self._quotas.tokens_held)
         counters.watch(
             'quota_tokens_granted', lambda: self._quotas.tokens_granted
--- a/bergamotmount/forwarding/policysource.py
+++ b/bergamotmount/forwarding/policysource.py
@@ -94,7 +94,7 @@
         self.is_store_reachable: bool | None = None
         #: Whether the long poll has failed, and pauses before its next try.
         self.is_retrying = False
-        #: Latest time of sending a read that the store has answered.
+        #: Latest time of sending a read that has shown all records.
         self.answered_ms = -math.inf
         self._has_table = asyncio.Event()
         self._record = b''
@@ -243,12 +243,12 @@
                 )
             return
         _log.info(
-            'Policy version {} from {} replaces version {}, known as newest '
-            '{:.0f} ms ago: {} routes.',
+            'Policy version {} from {} replaces version {}, last read of the '
+            'store {:.0f} ms ago: {} routes.',
             policy.version,
             source,
             self.version,
-            self._freshness.age_ms,
+            self._clock.now_ms() - self.answered_ms,
             len(policy.routes),
         )
         self.table = RouteTable(policy)
@@ -283,7 +283,8 @@
     def _apply_page(self, page: StorePage, sent_ms: float) -> None:
         for record in page.records:
             self.apply_record(record, 'store')
-        self.answered_ms = max(sent_ms, self.answered_ms)
+        if page.is_complete:
+            self.answered_ms = max(sent_ms, self.answered_ms)
         self._settlement.observe(page.era)
         if self._is_evidence(page, sent_ms):
             self._freshness.record(sent_ms)
--- a/bergamotmount/forwarding/policywatch.py
+++ b/bergamotmount/forwarding/policywatch.py
@@ -79,7 +79,8 @@
         self._source = source
         self._times = times
         self._rng = rng
-        self._heard_ms = clock.now_ms()
+        self._started_ms = clock.now_ms()
+        self._heard_ms = -math.inf
         self._failures = 0
 
     @property
@@ -87,15 +88,21 @@
         """Latest time at which no version newer than the active one existed."""
         return max(self._heard_ms, self._source.answered_ms)
 
+    @property
+    def age_ms(self) -> float:
+        """Time since the last check, infinite before the first."""
+        return self._clock.now_ms() - self.checked_ms
+
     def age_to_relay(self) -> int | None:
-        """Return the age of the last check for peers.
+        """Return the age of the last check for peers, ``None`` without one.
 
-        There is none while the newest record can't be read: a peer of another
-        release may be able to.
+        A check doesn't count while the newest record can't be read: a peer of
+        another release may be able to.
         """
-        if self._source.has_unreadable_record:
+        age_ms = self.age_ms
+        if math.isinf(age_ms) or self._source.has_unreadable_record:
             return None
-        return math.ceil(self._clock.now_ms() - self.checked_ms)
+        return math.ceil(age_ms)
 
     def hear(self, version: int, age_ms: int | None) -> bool:
         """Use a peer's check; return whether to pass it on.
@@ -117,17 +124,19 @@
             await self._clock.sleep(self._pause_before_read_ms())
             if self.checked_ms == checked_ms:
                 await self._check()
+            if self.checked_ms == checked_ms:
+                await self._clock.sleep(self._times.silence_ms)
 
     def _pause_before_read_ms(self) -> float:
         drawn = max(self._rng.random() for _ in range(DRAWS))
         span_ms = self._times.max_read_ms - self._times.min_read_ms
         read_age_ms = self._times.min_read_ms + span_ms * drawn
-        return max(read_age_ms - (self._clock.now_ms() - self.checked_ms), 0)
+        from_ms = max(self.checked_ms, self._started_ms)
+        return max(from_ms + read_age_ms - self._clock.now_ms(), 0)
 
     async def _check(self) -> None:
         if self._source.is_retrying:
             # The next try of the long poll is a check too.
-            await self._clock.sleep(self._times.silence_ms)
             return
         try:
             await self._source.verify()
--- a/bergamotmount/tests/test_policychanges.py
+++ b/bergamotmount/tests/test_policychanges.py
@@ -1,6 +1,7 @@
 """Changes of the policy: when they are in force, and what the log tells."""
 
 import asyncio
+import math
 import random
 import unittest
 from unittest import mock
@@ -9,6 +10,7 @@
 
 from bergamotmount.clock import LoopClock
 from bergamotmount.forwarding.policywatch import PolicyTimes, PolicyWatch
+from bergamotmount.forwarding.store import StorePage
 from bergamotmount.heartbeatpeer import HeartbeatPeer
 from bergamotmount.member import Member
 from bergamotmount.messages import Heartbeat
@@ -185,6 +187,26 @@
         self.assertFalse(watch.hear(1, None))
         self.assertEqual(watch.age_to_relay(), 1000)
 
+    async def test_new_process_has_checked_nothing(self):
+        """It told its peers that its start was a check."""
+        watch = await self.start()
+        self.source.answered_ms = -math.inf
+        self.assertIsNone(watch.age_to_relay())
+        self.assertTrue(watch.hear(1, 20))
+        self.assertEqual(watch.age_to_relay(), 20)
+
+    async def test_incomplete_page_is_no_check(self):
+        """Pages that were given up, or that lack records, counted as read."""
+        fixture = await make_forwarding_fixture()
+        source = fixture.host_by_name['b1'].node.policy_source
+        answered_ms = source.answered_ms
+        later_ms = answered_ms + 10_000
+        source._apply_page(StorePage([], 1, 1, False), later_ms)
+        self.assertEqual(source.answered_ms, answered_ms)
+        source._apply_page(StorePage([], 1, 1), later_ms)
+        self.assertEqual(source.answered_ms, later_ms)
+        fixture.close()
+
     async def test_unreadable_record_is_not_passed_on_as_checked(self):
         """A peer of another release may be able to read it."""
         watch = await self.start()
