--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -417,7 +417,7 @@
         self.state = 'ready'
         self.runs: list[tuple[str, float]] = []
         self.record = record
-        self.busy = 0
+        self.writers: set[asyncio.StreamWriter] = set()
         self._pinging: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -463,16 +463,24 @@
             await self.ping()
             await asyncio.sleep(HEARTBEAT_S)
 
-    def stop_pinging(self) -> None:
-        """Send no more announcements by itself."""
+    async def leave(self) -> None:
+        """Say that it is gone, then end with all its connections."""
         self._pinging.cancel()
+        path = f'/bergamotmount/instances/{self.instance}'
+        packed = pack(f'DELETE {path} HTTP/1.1', [('Host', 'control')])
+        await ask(self.node.control, packed, 1)
+        self._listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def _serve(self, reader, writer) -> None:
         memory: dict = {}
+        self.writers.add(writer)
         with contextlib.suppress(*ENDS):
             while not writer.is_closing():
                 request = await read_message(reader)
                 await self._answer(request, writer, memory)
+        self.writers.discard(writer)
         writer.close()
 
     async def _answer(self, request: Message, writer, memory: dict) -> None:
