--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -35,7 +35,7 @@
 READY_TIMEOUT_S = 25
 _FIRST_PORT, _LAST_PORT = 10_000, 30_000
 _PEER_PORTS = 8
-_PAGE_BYTES = 1024 * 1024
+_MB_BYTES = 1024 * 1024
 
 Headers = list[tuple[str, str]]
 
@@ -315,15 +315,21 @@
                 await self.start()
 
     def memory_used_mb(self) -> float:
-        """Return the anonymous resident memory of the process."""
+        """Return the anonymous resident memory of the process.
+
+        Where the kernel doesn't tell, it is all that is resident.
+        """
+        kilobytes_by_name = {}
         try:
             status = pathlib.Path(f'/proc/{self.process.pid}/status')
             for line in status.read_text('utf-8').splitlines():
-                if line.startswith('RssAnon:'):
-                    return int(line.split()[1]) * 1024 / _PAGE_BYTES
+                name, _, text = line.partition(':')
+                if name in {'RssAnon', 'VmRSS'}:
+                    kilobytes_by_name[name] = int(text.split()[0])
         except (OSError, ValueError):
-            pass
-        return 0
+            return 0
+        resident = kilobytes_by_name.get('VmRSS', 0)
+        return kilobytes_by_name.get('RssAnon', resident) * 1024 / _MB_BYTES
 
     async def _watch(self, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
