--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -677,12 +677,17 @@
 
     async def run() -> int:
         random.seed(int(os.environ.get('SEED', '1')))
+        playing = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(
+                number, playing.cancel
+            )
         lab = Lab(case_file)
         lab.record.write('start', trouble=int(TROUBLE))
         try:
             async with asyncio.timeout(115):
                 code = await play(lab)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             lab.record.write('could-not-run', error=repr(error))
             code = COULD_NOT_RUN
         finally:
