--- a/bergamotmount/tools/soak/deployment.py
+++ b/bergamotmount/tools/soak/deployment.py
@@ -60,6 +60,8 @@
         self.own_ends: list[int] = []
         #: Address of a proxy that other nodes are told to connect to.
         self.advertised = ''
+        #: Lines of the settings file beside the usual ones.
+        self.more_settings: list[str] = []
         self._host = host
         self._store_address = store_address
         self._folder = folder
@@ -67,6 +69,11 @@
         self._process: asyncio.subprocess.Process | None = None
         self._watching: asyncio.Task | None = None
 
+    @property
+    def pid(self) -> int:
+        """Id of the latest process."""
+        return self._process.pid
+
     @property
     def peer_address(self) -> str:
         """Where the node listens for other nodes."""
@@ -169,6 +176,7 @@
             'terms.bounds.retry_budget_ratio=0.2',
             'terms.bounds.budget_window_s=10',
             'terms.bounds.retry_budget_slack=47',
+            *self.more_settings,
             '',
         ]
 
