--- a/bergamotmount/forwarding/gateway.py
+++ b/bergamotmount/forwarding/gateway.py
@@ -22,7 +22,7 @@
 from bergamotmount.forwarding.headers import HeaderNames
 from bergamotmount.forwarding.http import (
     HttpResponse,
-    pack_request,
+    pack_request_head,
 )
 from bergamotmount.forwarding.httpclient import (
     ConnectionPool,
@@ -247,6 +247,7 @@
                         candidate, call.root, connection
                     ),
                     call.method == 'HEAD',
+                    call.body,
                 )
         except TimeoutError:
             return Unknown(UnknownReason.ANSWER_LATE)
@@ -267,7 +268,7 @@
 
     def _pack(self, call: Call, deadline_ms: float) -> bytes:
         remaining_ms = int(deadline_ms - self._clock.now_ms())
-        return pack_request(
+        return pack_request_head(
             call.method,
             call.target,
             [
@@ -277,7 +278,7 @@
                 self._header_names.target,
                 self.process.instance,
             ],
-            call.body,
+            len(call.body),
         )
 
     def _is_response_to(
--- a/bergamotmount/forwarding/http.py
+++ b/bergamotmount/forwarding/http.py
@@ -4,6 +4,7 @@
 ASCII are decoded and encoded as Latin-1, one character per byte.
 """
 
+import asyncio
 import dataclasses
 import http
 from collections.abc import Iterable
@@ -28,6 +29,9 @@
 #: Statuses that callers take for "not run".
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
+#: Size up to which a body is written in one piece with its head.
+MAX_JOINED_BYTES = 64 * 1024
+
 #: Methods whose requests have a Content-Length even if the body is empty.
 _METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 
@@ -116,11 +120,18 @@
     body: bytes,
 ) -> bytes:
     """Encode a request with a body of known length."""
+    return pack_request_head(method, target, flat_headers, len(body)) + body
+
+
+def pack_request_head(
+    method: str, target: str, flat_headers: list[str], body_bytes: int
+) -> bytes:
+    """Encode the head of a request whose body has this length."""
     lines = [f'{method} {target} HTTP/1.1']
     _append_header_lines(lines, flat_headers)
-    if body or method in _METHODS_WITH_BODY:
-        lines.append(f'Content-Length: {len(body)}')
-    return _encode(lines, body)
+    if body_bytes or method in _METHODS_WITH_BODY:
+        lines.append(f'Content-Length: {body_bytes}')
+    return _encode(lines)
 
 
 def pack_response(
@@ -134,12 +145,31 @@
 
     The body is left out with ``is_head``, for an answer to a HEAD request.
     """
+    head = pack_response_head(status, flat_headers, len(body), closes)
+    return head if is_head else head + body
+
+
+def pack_response_head(
+    status: int, flat_headers: list[str], body_bytes: int, closes: bool
+) -> bytes:
+    """Encode the head of a response whose body has this length."""
     lines = [f'HTTP/1.1 {status} {reason_phrase(status)}']
     _append_header_lines(lines, flat_headers)
-    lines.append(f'Content-Length: {len(body)}')
+    lines.append(f'Content-Length: {body_bytes}')
     if closes:
         lines.append('Connection: close')
-    return _encode(lines, b'' if is_head else body)
+    return _encode(lines)
+
+
+def write_parts(
+    transport: asyncio.WriteTransport, head: bytes, body: bytes
+) -> None:
+    """Write a message; a large body isn't copied to be one with its head."""
+    if len(body) <= MAX_JOINED_BYTES:
+        transport.write(head + body)
+    else:
+        transport.write(head)
+        transport.write(body)
 
 
 def reason_phrase(status: int) -> str:
@@ -163,6 +193,6 @@
     lines.extend(f'{name}: {text}' for name, text in pairs)
 
 
-def _encode(lines: list[str], body: bytes) -> bytes:
+def _encode(lines: list[str]) -> bytes:
     head = '\r\n'.join(lines)
-    return f'{head}\r\n\r\n'.encode('latin-1') + body
+    return f'{head}\r\n\r\n'.encode('latin-1')
--- a/bergamotmount/forwarding/httpclient.py
+++ b/bergamotmount/forwarding/httpclient.py
@@ -8,6 +8,7 @@
     ResponseBuffer,
     ServerConnection,
 )
+from bergamotmount.memoryaccount import MemoryAccount
 
 #: Timeout of opening a connection.
 CONNECT_TIMEOUT_MS = 1000
@@ -27,14 +28,19 @@
 class ConnectionPool:
     """Connections to one server; the most recently used one goes first."""
 
-    def __init__(self, clock: Clock, address: str) -> None:
-        """Start without connections; open them to ``ip:port`` on demand."""
+    def __init__(
+        self, clock: Clock, address: str, account: MemoryAccount | None = None
+    ) -> None:
+        """Start without connections; open them to ``ip:port`` on demand.
+
+        What they hold counts in ``account``.
+        """
         self.address = address
         self.opened = 0
         self._clock = clock
         self._idle: list[ServerConnection] = []
         self._in_use: set[ServerConnection] = set()
-        self._buffer = ResponseBuffer()
+        self._buffer = ResponseBuffer(account=account)
 
     async def acquire(
         self, request_id: str = '', is_fresh: bool = False
--- a/bergamotmount/forwarding/httpconnection.py
+++ b/bergamotmount/forwarding/httpconnection.py
@@ -5,17 +5,23 @@
 connection, its requests that are still being handled are cancelled.
 """
 
+import abc
 import asyncio
 import collections
 import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from bergamotmount.clock import Clock
+from bergamotmount.clock import MS_PER_SECOND, Clock
+from bergamotmount.forwarding.connectionmemory import (
+    ConnectionMemory,
+    size_of_reply,
+)
 from bergamotmount.forwarding.http import (
     HttpRequest,
     MalformedRequestError,
-    pack_response,
+    pack_response_head,
+    write_parts,
 )
 from bergamotmount.forwarding.requestreader import (
     HttpLimits,
@@ -23,6 +29,15 @@
     RequestReader,
 )
 from bergamotmount.log import part_logger
+from bergamotmount.memoryaccount import HoldingKind, MemoryAccount
+
+#: Maximum number of bytes that are read in one go. A connection that is paused
+#: has read no more than these beyond what it wanted.
+READ_BYTES = 16 * 1024
+
+#: Memory of requests without a reply, if they are more than one, at which a
+#: connection stops reading.
+MAX_WAITING_BYTES = 256 * 1024
 
 #: Number of requests without a reply at which a connection stops reading.
 MAX_PIPELINED_REQUESTS = 32
@@ -35,10 +50,20 @@
 
 _log = part_logger('http')
 
+#: Time after which a request may be repeated that was refused for lack of
+#: memory, and by how much each of some in succession waits longer.
+NO_MEMORY_RETRY_MS = 1000
+NO_MEMORY_RETRY_STEP_MS = 100
+NO_MEMORY_RETRY_STEPS = 16
+
 _INTERNAL_ERROR = 500
 _REQUEST_TIMEOUT = 408
+_UNAVAILABLE = 503
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
+#: Buffer that all connections read into, one after the other.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
 
 @dataclasses.dataclass(slots=True)
 class HttpReply:
@@ -73,6 +98,14 @@
     connections: set['Connection']
     is_closing: bool
     check_head: Callable[[HttpRequest], int | None] | None
+    account: MemoryAccount
+    holding_kind: HoldingKind
+
+    def admit(self, connection: 'Connection') -> bool:
+        """Return whether a new connection may stay."""
+
+    def on_no_memory(self) -> None:
+        """Report a request that is refused for lack of memory."""
 
     def on_malformed(self, reason: str) -> None:
         """Report a request that is rejected without being handled."""
@@ -82,20 +115,38 @@
 class _PipelinedRequest:
     """One request of a connection, and its reply once there is one.
 
-    ``request`` is ``None`` if it was rejected. With ``closes`` the
-    connection ends after the reply.
+    With ``closes`` the connection ends after the reply. ``held_bytes`` is the
+    memory of the request, then of the reply.
     """
 
-    request: HttpRequest | None
     closes: bool
+    is_head: bool = False
+    held_bytes: int = 0
     reply: HttpReply | None = None
     task: asyncio.Task | None = None
 
 
-class Connection(asyncio.Protocol):
+class _BufferedReader(asyncio.BufferedProtocol, abc.ABC):
+    """Reads at most ``READ_BYTES`` at a time."""
+
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        """Return the buffer to read into."""
+        return _read_buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Parse the bytes that have been read."""
+        self.data_received(bytes(_read_buffer[:size]))
+
+    @abc.abstractmethod
+    def data_received(self, received: bytes) -> None:
+        """Handle received bytes."""
+
+
+class Connection(_BufferedReader):
     """One connection of a caller.
 
     ``pipeline`` holds the requests that have no reply yet, oldest first.
+    ``timer_started_ms`` is when it became idle, or last received bytes.
     """
 
     def __init__(self, server: ConnectionOwner) -> None:
@@ -107,16 +158,23 @@
         self._reader = RequestReader(server, self)
         self._transport: asyncio.Transport | None = None
         self._remote_address = RemoteAddress('')
-        self._timer_started_ms = server.clock.now_ms()
+        self.timer_started_ms = server.clock.now_ms()
         self._is_lingering = False
         self._is_reading_paused = False
         self._can_write = True
+        self._memory = ConnectionMemory(
+            server.account, server.holding_kind, self._shed
+        )
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being received or waits for its reply."""
-        is_receiving = self._reader.phase is not ReadPhase.IDLE
-        return not (self.pipeline or is_receiving or self._is_lingering)
+        return not (self.pipeline or self.is_receiving or self._is_lingering)
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has begun and not ended."""
+        return self._reader.phase is not ReadPhase.IDLE
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection with its server."""
@@ -124,11 +182,15 @@
         transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         peer = transport.get_extra_info('peername')
         self._remote_address = RemoteAddress(peer[0] if peer else '')
-        self._server.connections.add(self)
+        if self._server.admit(self):
+            self._server.connections.add(self)
+        else:
+            transport.abort()
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Cancel the requests of this caller."""
         self._server.connections.discard(self)
+        self._memory.close()
         self._reader.stop()
         self._cancel_pipeline()
 
@@ -146,39 +208,56 @@
         """Parse received bytes; a malformed request ends the connection."""
         if self._reader.is_done:
             return
+        self._memory.move()
         if self._reader.phase is ReadPhase.BODY:
             self.restart_timer()
         try:
             self._reader.feed(received)
         except MalformedRequestError as error:
             self._reject(error)
+        self._update_memory()
 
     def restart_timer(self) -> None:
         """Restart the timer by which timeouts are judged."""
-        self._timer_started_ms = self._server.clock.now_ms()
+        self.timer_started_ms = self._server.clock.now_ms()
 
     def send_continue(self) -> None:
         """Tell the caller that its body is awaited."""
         self._transport.write(_CONTINUE)
 
-    def on_request(self, request: HttpRequest, closes: bool) -> None:
-        """Handle a request in a task of its own."""
-        pipelined = _PipelinedRequest(request, closes)
+    def on_request(
+        self, request: HttpRequest, closes: bool, held_bytes: int
+    ) -> None:
+        """Handle a request in a task of its own, or refuse it."""
+        is_head = request.method == 'HEAD'
+        pipelined = _PipelinedRequest(closes, is_head)
         self.pipeline.append(pipelined)
+        # What was being received is now the request itself.
+        self._update_memory()
+        if not self._memory.admits(held_bytes):
+            pipelined.reply = self._refuse_for_memory()
+            self._flush()
+            return
+        pipelined.held_bytes = held_bytes
+        self._memory.add_request(held_bytes)
         pipelined.task = asyncio.get_running_loop().create_task(
-            self._handle(pipelined)
+            self._handle(pipelined, request)
         )
         self._apply_backpressure()
 
     def check_timeout(self, now_ms: float) -> None:
         """End the connection if the caller has exceeded a timeout."""
-        elapsed_ms = now_ms - self._timer_started_ms
+        elapsed_ms = now_ms - self.timer_started_ms
         limits = self._server.limits
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if self._memory.unread_ms(unsent_bytes) > limits.idle_timeout_ms:
+            self._abort()
+            return
         match self._reader.phase:
             case ReadPhase.HEAD if elapsed_ms > limits.header_timeout_ms:
-                self._reject_slow('headers')
+                self._reject(_slow('headers'))
             case ReadPhase.BODY if elapsed_ms > limits.idle_timeout_ms:
-                self._reject_slow('body')
+                self._reject(_slow('body'))
             case ReadPhase.IDLE if self._is_lingering:
                 if elapsed_ms > LINGER_MS:
                     self.close()
@@ -191,7 +270,7 @@
         for pipelined in self.pipeline:
             if pipelined.reply is None:
                 pipelined.task.cancel()
-                pipelined.reply = HttpReply(status)
+                self._set_reply(pipelined, HttpReply(status))
         self._flush()
 
     def close(self) -> None:
@@ -199,57 +278,83 @@
         if self._transport is not None:
             self._transport.close()
 
-    async def _handle(self, pipelined: _PipelinedRequest) -> None:
+    async def _handle(
+        self, pipelined: _PipelinedRequest, request: HttpRequest
+    ) -> None:
         try:
-            pipelined.reply = await self._server.handler(
-                pipelined.request, self._remote_address
-            )
+            reply = await self._server.handler(request, self._remote_address)
         except Exception:
             # Without a reply the caller would wait, and all behind it.
             _log.exception('Request failed.')
-            pipelined.reply = HttpReply(_INTERNAL_ERROR)
+            reply = HttpReply(_INTERNAL_ERROR)
         pipelined.task = None
+        self._set_reply(pipelined, reply)
         self._flush()
 
-    def _reject_slow(self, part: str) -> None:
-        self._reject(
-            MalformedRequestError(
-                _REQUEST_TIMEOUT, f'slow {part}: timeout exceeded'
-            )
-        )
+    def _set_reply(
+        self, pipelined: _PipelinedRequest, reply: HttpReply
+    ) -> None:
+        reply_bytes = size_of_reply(reply.headers, reply.body)
+        self._memory.replace_by_reply(pipelined.held_bytes, reply_bytes)
+        pipelined.held_bytes = reply_bytes
+        pipelined.reply = reply
 
     def _reject(self, error: MalformedRequestError) -> None:
         self._server.on_malformed(error.reason)
+        self._end_with(HttpReply(error.status, closes=True))
+
+    def _end_with(self, reply: HttpReply) -> None:
+        """Send a last reply after those to earlier requests."""
         self._reader.stop()
-        reply = HttpReply(error.status, closes=True)
-        self.pipeline.append(_PipelinedRequest(None, closes=True, reply=reply))
+        self.pipeline.append(_PipelinedRequest(closes=True, reply=reply))
         self._flush()
 
+    def _refuse_for_memory(self, closes: bool = False) -> HttpReply:
+        """Return the refusal of a request that has not been passed on."""
+        self._server.on_no_memory()
+        return _no_memory_reply(self._server.account.refusals, closes)
+
+    def _shed(self) -> None:
+        """Give up a request that is being received, or unread replies."""
+        if self._reader.held_bytes:
+            self._end_with(self._refuse_for_memory(closes=True))
+        else:
+            self._abort()
+
+    def _abort(self) -> None:
+        """Close immediately; unsent bytes are dropped."""
+        self._reader.stop()
+        self._cancel_pipeline()
+        self._transport.abort()
+
+    def _update_memory(self) -> None:
+        self._memory.update(
+            self._reader.held_bytes, self._transport.get_write_buffer_size()
+        )
+
     def _flush(self) -> None:
         while self.pipeline and self._can_write:
             pipelined = self.pipeline[0]
             if pipelined.reply is None or self._transport.is_closing():
                 break
             self.pipeline.popleft()
+            self._memory.remove_reply(pipelined.held_bytes)
             if self._write(pipelined, pipelined.reply):
+                self._update_memory()
                 return
         self._apply_backpressure()
         if self.is_idle:
             self.restart_timer()
+        self._update_memory()
 
     def _write(self, pipelined: _PipelinedRequest, reply: HttpReply) -> bool:
         is_last = self._server.is_closing and not self.pipeline
         closes = reply.closes or pipelined.closes or is_last
-        request = pipelined.request
-        is_head = request is not None and request.method == 'HEAD'
-        packed = pack_response(
-            reply.status,
-            reply.headers,
-            reply.body,
-            closes,
-            is_head,
+        head = pack_response_head(
+            reply.status, reply.headers, len(reply.body), closes
         )
-        self._transport.write(packed)
+        body = b'' if pipelined.is_head else reply.body
+        write_parts(self._transport, head, body)
         if closes:
             self._half_close()
         return closes
@@ -272,11 +377,18 @@
             if pipelined.task is not None:
                 pipelined.task.cancel()
         self.pipeline.clear()
+        self._memory.clear()
 
-    def _apply_backpressure(self) -> None:
-        is_full = (
-            len(self.pipeline) >= MAX_PIPELINED_REQUESTS or not self._can_write
+    @property
+    def _is_pipeline_full(self) -> bool:
+        is_large = self._memory.waiting_bytes > MAX_WAITING_BYTES
+        # A single request is read on, so that its caller is seen to leave.
+        return len(self.pipeline) >= MAX_PIPELINED_REQUESTS or (
+            is_large and len(self.pipeline) > 1
         )
+
+    def _apply_backpressure(self) -> None:
+        is_full = self._is_pipeline_full or not self._can_write
         if is_full == self._is_reading_paused or self._reader.is_done:
             return
         self._is_reading_paused = is_full
@@ -284,3 +396,17 @@
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
+
+
+def _slow(part: str) -> MalformedRequestError:
+    return MalformedRequestError(
+        _REQUEST_TIMEOUT, f'slow {part}: timeout exceeded'
+    )
+
+
+def _no_memory_reply(refusals: int, closes: bool) -> HttpReply:
+    """Return a refusal; several in succession come back at different times."""
+    step = refusals % NO_MEMORY_RETRY_STEPS
+    wait_ms = NO_MEMORY_RETRY_MS + step * NO_MEMORY_RETRY_STEP_MS
+    seconds = f'{wait_ms / MS_PER_SECOND:.3f}'
+    return HttpReply(_UNAVAILABLE, ['Retry-After', seconds], closes=closes)
--- a/bergamotmount/forwarding/httpserver.py
+++ b/bergamotmount/forwarding/httpserver.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 server: a listener and its connections."""
 
 import asyncio
+import dataclasses
+import math
 from collections.abc import Callable
 
 from bergamotmount.clock import Clock
@@ -10,15 +12,35 @@
     Handler,
     HttpLimits,
 )
+from bergamotmount.memoryaccount import HoldingKind, MemoryAccount
+from bergamotmount.reasons import DropReason
 
 #: Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
 
 
+def _ignore_overload(_reason: DropReason) -> None:
+    """Ignore why a connection is closed."""
+
+
 #: Returns the status to reject a request with, by its headers only.
 HeadCheck = Callable[[HttpRequest], int | None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerBounds:
+    """What the connections of a server may hold.
+
+    ``on_overload`` is called with the reason for which one is closed or
+    refused.
+    """
+
+    account: MemoryAccount
+    holding_kind: HoldingKind = HoldingKind.CALLER
+    max_connections: float = math.inf
+    on_overload: Callable[[DropReason], None] = _ignore_overload
+
+
 class HttpServer:
     """Listens for callers and tracks their connections."""
 
@@ -29,13 +51,19 @@
         limits: HttpLimits,
         on_malformed: Callable[[str], None],
         check_head: HeadCheck | None = None,
+        bounds: ServerBounds | None = None,
     ) -> None:
         """Pass requests to ``handler`` once the server is started.
 
         ``limits`` may be replaced at any time. ``on_malformed`` is called
         with the reason for which a request is rejected. ``check_head`` may
-        reject a request with a large body before that is received.
+        reject a request with a large body before that is received. Without
+        ``bounds`` connections and their memory are counted and not bounded.
         """
+        bounds = bounds or ServerBounds(MemoryAccount(clock))
+        self.account = bounds.account
+        self.holding_kind = bounds.holding_kind
+        self._bounds = bounds
         self.clock = clock
         self.handler = handler
         self.limits = limits
@@ -64,6 +92,35 @@
             backlog=BACKLOG,
         )
 
+    def admit(self, connection: Connection) -> bool:
+        """Return whether a new connection may stay; see ``ServerBounds``.
+
+        Where there are too many, the one ends that does least: an idle one,
+        else one whose request has not come further for longest.
+        """
+        if len(self.connections) < self._bounds.max_connections:
+            return True
+        self._bounds.on_overload(DropReason.TOO_MANY_CONNECTIONS)
+        candidates = [
+            each
+            for each in self.connections
+            if not each.pipeline and (each.is_idle or each.is_receiving)
+        ]
+        if not candidates:
+            return False
+        least_active = min(
+            candidates,
+            key=lambda each: (not each.is_idle, each.timer_started_ms),
+        )
+        self.connections.discard(least_active)
+        least_active.close()
+        return True
+
+    def on_no_memory(self) -> None:
+        """Count a request that is refused for lack of memory."""
+        self.account.refusals += 1
+        self._bounds.on_overload(DropReason.NO_MEMORY)
+
     def check_timeouts(self) -> None:
         """End connections that exceeded a timeout; call regularly."""
         now_ms = self.clock.now_ms()
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -23,9 +23,10 @@
 from bergamotmount.forwarding.gateway import Gateway, GatewayDependencies
 from bergamotmount.forwarding.healthcheck import Health, HealthChecker
 from bergamotmount.forwarding.httpconnection import HttpLimits
-from bergamotmount.forwarding.httpserver import HttpServer
+from bergamotmount.forwarding.httpserver import HttpServer, ServerBounds
 from bergamotmount.forwarding.latencyrouter import LatencyRouter
 from bergamotmount.forwarding.localserver import LocalServer
+from bergamotmount.forwarding.memoryreports import MemoryReports
 from bergamotmount.forwarding.options import ForwardingOptions, ForwardingPorts
 from bergamotmount.forwarding.policyaccess import PolicyAccess
 from bergamotmount.forwarding.quarantine import Quarantine
@@ -52,8 +53,7 @@
     QuotaRequest,
 )
 from bergamotmount.organisations.quotas import Quotas
-from bergamotmount.ports import Lost
-from bergamotmount.ports import Reply as PeerReply
+from bergamotmount.ports import Lost, Reply as PeerReply
 from bergamotmount.reasons import DropReason
 from bergamotmount.serving import PeerServer
 from bergamotmount.supervision import keep_running
@@ -92,6 +92,9 @@
         self.ports = ports
         self.options = options
         clock, rng = ports.clock, ports.rng
+        self._memory_reports = MemoryReports(
+            clock, ports.account, ports.counters
+        )
         self.members = Members(clock, local_member)
         self.threshold_view = ThresholdView(clock)
         self.downstream_services = DownstreamServices(clock)
@@ -360,11 +363,17 @@
             HttpLimits(),
             self._on_malformed_request,
             self.entry.check_head,
+            ServerBounds(
+                self.ports.account,
+                max_connections=self.options.limits.max_callers,
+                on_overload=counters.dropped,
+            ),
         )
         self.peer_server = PeerServer(
             self.gateway.handle,
             self.receive,
             counters,
+            self.ports.account,
         )
 
     def _export_values(self) -> None:
@@ -373,6 +382,9 @@
         counters.watch('policy_version', lambda: self.policy_source.version)
         watch = self._policy_access.watch
         counters.watch('policy_check_age_ms', lambda: watch.age_ms)
+        counters.watch(
+            'caller_connections', lambda: len(self.caller_server.connections)
+        )
         counters.watch('quota_tokens_held', lambda: self._quotas.tokens_held)
         counters.watch(
             'quota_tokens_granted', lambda: self._quotas.tokens_granted
@@ -463,6 +475,7 @@
             self.entry.totals.flush()
             self.gateway.decisions.flush()
             self.quarantine.decisions.flush()
+            self._memory_reports.decisions.flush()
 
     def _has_pending_requests(self) -> bool:
         return bool(
--- a/bergamotmount/forwarding/options.py
+++ b/bergamotmount/forwarding/options.py
@@ -16,8 +16,10 @@
 from bergamotmount.forwarding.retrybudget import RetryBudgetOptions
 from bergamotmount.forwarding.store import KeyedStore
 from bergamotmount.heartbeats import HeartbeatTimes
+from bergamotmount.memoryaccount import MemoryAccount
 from bergamotmount.organisations.quotaowner import QuotaOptions
 from bergamotmount.ports import Dialer
+from bergamotmount.processlimits import ProcessLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,7 +43,8 @@
     own. A server that isn't announced for ``lease_ms`` counts as absent.
     Keys are accepted for ``policy_lease_ms`` after the policy was known to be
     the newest. A published policy has to be in force after ``policy_apply_ms``.
-    ``is_first_start`` tells that all nodes start at the same time.
+    ``is_first_start`` tells that all nodes start at the same time. ``limits``
+    bound the connections of callers.
     """
 
     service: str
@@ -54,11 +57,16 @@
     policy_lease_ms: float = math.inf
     policy_apply_ms: float = APPLY_MS
     quota: QuotaOptions = QuotaOptions()
+    limits: ProcessLimits = ProcessLimits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardingPorts:
-    """Ports that connect a forwarding node to its environment."""
+    """Ports that connect a forwarding node to its environment.
+
+    ``account`` is that of the process; by default the node has one of its
+    own, without a limit.
+    """
 
     clock: Clock
     dialer: Dialer
@@ -67,3 +75,6 @@
     counters: Counters
     rng: random.Random
     pool_factory: PoolFactory = ConnectionPool
+    account: MemoryAccount = dataclasses.field(
+        default_factory=lambda: MemoryAccount(Clock())
+    )
--- a/bergamotmount/forwarding/serverconnection.py
+++ b/bergamotmount/forwarding/serverconnection.py
@@ -6,13 +6,20 @@
 
 import asyncio
 import dataclasses
+import io
 import socket
 from collections.abc import Callable
 
 import httptools
 
 from bergamotmount.clock import Clock
-from bergamotmount.forwarding.http import HttpResponse, header_of
+from bergamotmount.forwarding.headerlines import HeaderLineError, HeaderLines
+from bergamotmount.forwarding.http import HttpResponse, header_of, write_parts
+from bergamotmount.memoryaccount import (
+    CONNECTION_BYTES,
+    HoldingKind,
+    MemoryAccount,
+)
 
 #: Maximum size of a response body, and by how much everything else, such as
 #: heads, interim responses and chunk sizes, may exceed it.
@@ -34,6 +41,9 @@
 #: needn't remember more of them.
 MAX_REFUSED_REQUESTS = 64
 
+#: Headers that tell how a body ends.
+_FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+
 #: Minimum status of a final response; lower ones are interim responses.
 _FINAL_STATUS = 200
 
@@ -88,8 +98,13 @@
         buffer.release(len(part))
     """
 
-    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
-        """Start empty."""
+    def __init__(
+        self,
+        max_bytes: int = MAX_BUFFERED_BYTES,
+        account: MemoryAccount | None = None,
+    ) -> None:
+        """Start empty; the connections also hold memory of ``account``."""
+        self.account = account
         self._max_bytes = max_bytes
         self._used_bytes = 0
 
@@ -116,6 +131,8 @@
     ) -> None:
         """Start unconnected; share ``buffer`` with other connections."""
         self._buffer = buffer or ResponseBuffer()
+        account = self._buffer.account or MemoryAccount(clock)
+        self._holding = account.open(HoldingKind.SERVER, self._shed)
         self._body_bytes = 0
         self._overhead_bytes = 0
         self.is_usable = True
@@ -141,6 +158,7 @@
         self.is_usable = False
         self._fail(f'connection ended: {error}')
         self._reset_message()
+        self._holding.close()
 
     def eof_received(self) -> bool:
         """Complete a response that ends with the connection; else fail."""
@@ -169,6 +187,8 @@
         is_failed = exchange.response.done() and self._exchange is exchange
         if is_failed or not (self.is_usable or self._exchange):
             self.close()
+        self._holding.move()
+        self._update_holding()
 
     def on_message_begin(self) -> None:
         """Start a response; an unexpected one prevents further reuse."""
@@ -179,16 +199,18 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; trailers are dropped."""
-        if self._in_head:
-            header = name.decode('latin-1'), text.decode('latin-1')
-            self._headers.append(header)
+        if not self._in_head:
+            return
+        self._has_framing |= name.lower() in _FRAMING_HEADERS
+        try:
+            self._lines.add(name, text)
+        except HeaderLineError as error:
+            self._fail(str(error))
 
     def on_headers_complete(self) -> None:
         """Determine how the body ends."""
         self._in_head = False
-        names = {name.lower() for name, _ in self._headers}
-        framing = names & {'content-length', 'transfer-encoding'}
-        self._ends_at_close = not framing
+        self._ends_at_close = not self._has_framing
         if self._exchange is not None and self._exchange.is_head:
             self.is_usable = False
             self._complete(has_length=True)
@@ -200,7 +222,9 @@
         self._overhead_bytes -= size
         has_room = self._buffer.reserve(size)
         if has_room and self._body_bytes <= MAX_RESPONSE_BYTES:
-            self._body.append(part)
+            if self._body is None:
+                self._body = io.BytesIO()
+            self._body.write(part)
         else:
             self._fail('response too large')
 
@@ -213,19 +237,20 @@
         packed: bytes,
         matches: ResponseMatcher,
         is_head: bool = False,
+        body: bytes = b'',
     ) -> HttpResponse:
         """Send a request and return its response.
 
-        Responses that don't match are dropped. Raise
-        :class:`BrokenExchangeError` if the exchange fails before the response
-        is complete. Cancelling it closes the connection, so that the server
-        stops working on the request.
+        ``body`` follows the bytes in ``packed``. Responses that don't match
+        are dropped. Raise :class:`BrokenExchangeError` if the exchange fails
+        before the response is complete. Cancelling it closes the connection,
+        so that the server stops working on the request.
         """
         pending = asyncio.get_running_loop().create_future()
         self._exchange = _Exchange(pending, matches, is_head)
         self.requests += 1
         self._overhead_bytes = 0
-        self._transport.write(packed)
+        write_parts(self._transport, packed, body)
         try:
             return await pending
         except asyncio.CancelledError:
@@ -256,8 +281,9 @@
 
     def _reset_message(self) -> None:
         self._buffer.release(self._body_bytes)
-        self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
+        self._lines = HeaderLines()
+        self._has_framing = False
+        self._body: io.BytesIO | None = None
         self._body_bytes = 0
         self._in_head = True
         self._in_message = False
@@ -266,8 +292,8 @@
     def _complete(self, has_length: bool) -> None:
         status = self._parser.get_status_code()
         self._in_message = False
-        body = b''.join(self._body)
-        self._body.clear()
+        body = b'' if self._body is None else self._body.getvalue()
+        self._body = None
         self._buffer.release(self._body_bytes)
         self._body_bytes = 0
         if status < _FINAL_STATUS:
@@ -276,12 +302,14 @@
         if exchange is None or exchange.response.done():
             self.is_usable = False
             return
+        headers = self._lines.decode()
+        self._lines = HeaderLines()
         response = HttpResponse(
             status,
-            self._headers,
+            headers,
             body,
             has_length and self._parser.should_keep_alive(),
-            _keep_alive_ms(self._headers),
+            _keep_alive_ms(headers),
         )
         if not exchange.matches(response):
             # It answers an earlier request; the expected one is yet to come.
@@ -293,6 +321,17 @@
         exchange.response.set_result(response)
         self._exchange = None
 
+    def _shed(self) -> None:
+        """Give up the response that is being received."""
+        self._fail('no memory for the response')
+        self.close()
+
+    def _update_holding(self) -> None:
+        received_bytes = self._body_bytes + self._lines.wire_bytes
+        if self._exchange is None:
+            received_bytes = 0
+        self._holding.update(CONNECTION_BYTES + received_bytes, received_bytes)
+
     def _start_idle(self, keep_alive_ms: float) -> None:
         idle_ms: float = IDLE_TIMEOUT_MS
         if keep_alive_ms:
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import functools
 import gc
 import os
 import random
@@ -13,11 +14,12 @@
 from bergamotmount.adapters.plaincounters import PlainCounters
 from bergamotmount.clock import Clock
 from bergamotmount.fieldchecks import is_address
+from bergamotmount.forwarding.httpclient import ConnectionPool
 from bergamotmount.forwarding.httpconnection import (
     Handler,
     HttpLimits,
 )
-from bergamotmount.forwarding.httpserver import HttpServer
+from bergamotmount.forwarding.httpserver import HttpServer, ServerBounds
 from bergamotmount.forwarding.node import ForwardingNode
 from bergamotmount.forwarding.options import (
     ForwardingOptions,
@@ -28,6 +30,7 @@
 from bergamotmount.incarnation import new_incarnation
 from bergamotmount.log import PendingLines, part_logger, start_logging
 from bergamotmount.member import Member
+from bergamotmount.memoryaccount import HoldingKind, MemoryAccount
 from bergamotmount.organisations.freshness import lease_for
 from bergamotmount.platform.control import ControlServer
 from bergamotmount.platform.names import HEADERS
@@ -38,7 +41,9 @@
     read_platform_settings,
 )
 from bergamotmount.platform.store import PlatformStore
+from bergamotmount.processlimits import ProcessLimits
 from bergamotmount.settingserror import SettingsError
+from bergamotmount.supervision import keep_running
 from bergamotmount.wire.tcp import PeerListener, TcpDialer
 
 #: Environment variable that holds the path of the settings file.
@@ -62,6 +67,12 @@
 #: Time reserved between the deadline of a graceful stop and SIGKILL.
 STOP_MARGIN_MS = 700
 
+#: Interval at which the timeouts of operators' connections are checked.
+DOOR_CHECK_INTERVAL_MS = 1000
+
+#: Maximum size of the body of an announcement, or of what an operator sends.
+MAX_DOOR_BODY_BYTES = 64 * 1024
+
 _log = part_logger('daemon')
 
 
@@ -109,26 +120,33 @@
         self._counters = PlainCounters()
         self._counters.watch('log_lines_left_out', lambda: log_lines.left_out)
         rng = random.Random()
+        limits = settings.limits.within_system()
+        self._limits = limits
+        self._account = MemoryAccount(clock, limits.account_bytes)
         ports = ForwardingPorts(
             clock,
-            TcpDialer(self._counters, self._is_in_remote_domain),
+            TcpDialer(self._counters, self._is_in_remote_domain, self._account),
             PlatformStore(clock, settings.store_address),
             parse_record,
             self._counters,
             rng,
+            functools.partial(ConnectionPool, account=self._account),
+            self._account,
         )
         self.node = ForwardingNode(
             _local_member(settings, advertised or settings.peer_address),
-            _options(settings),
+            _options(settings, limits),
             ports,
         )
         control = ControlServer(self.node, settings.server_address)
-        self._ready_server = _http_server(clock, control.handle_ready)
-        self._control_server = _http_server(clock, control.handle_control)
-        self._metrics_server = _http_server(clock, self._counters.handle)
+        self._ready_server = self._door(control.handle_ready)
+        self._control_server = self._door(control.handle_control)
+        self._metrics_server = self._door(self._counters.handle)
         self._peer_listener = PeerListener(
             self.node.peer_server.serve,
             self._counters,
+            self._account,
+            limits.max_peers,
         )
 
     async def run(self) -> None:
@@ -154,8 +172,32 @@
         await self._metrics_server.start(settings.metrics_address)
         await self.node.caller_server.start(settings.caller_address)
         self.node.start()
+        self._checks = asyncio.create_task(
+            keep_running(self._clock, self._check_doors)
+        )
         _log.info('Node {} is up.', settings.node)
 
+    async def _check_doors(self) -> None:
+        """End connections that are idle or slow, at all other addresses."""
+        doors = (self._ready_server, self._control_server, self._metrics_server)
+        while True:
+            await self._clock.sleep(DOOR_CHECK_INTERVAL_MS)
+            for door in doors:
+                door.check_timeouts()
+
+    def _door(self, handler: Handler) -> HttpServer:
+        """Return the server of an address that isn't for callers."""
+        bounds = ServerBounds(
+            self._account,
+            HoldingKind.OPERATOR,
+            self._limits.max_door_connections,
+            self._counters.dropped,
+        )
+        limits = HttpLimits(max_body_bytes=MAX_DOOR_BODY_BYTES)
+        return HttpServer(
+            self._clock, handler, limits, _log_malformed, bounds=bounds
+        )
+
     def _is_in_remote_domain(self, address: str) -> bool:
         return self.node.members.is_in_remote_domain(address)
 
@@ -211,7 +253,9 @@
     )
 
 
-def _options(settings: PlatformSettings) -> ForwardingOptions:
+def _options(
+    settings: PlatformSettings, limits: ProcessLimits
+) -> ForwardingOptions:
     return ForwardingOptions(
         service=settings.service,
         lease_ms=settings.announce_interval_ms * MAX_MISSED_ANNOUNCEMENTS,
@@ -228,13 +272,10 @@
         policy_lease_ms=lease_for(settings.key_withdrawal_ms),
         policy_apply_ms=settings.policy_apply_ms,
         quota=settings.quota,
+        limits=limits,
     )
 
 
-def _http_server(clock: Clock, handler: Handler) -> HttpServer:
-    return HttpServer(clock, handler, HttpLimits(), _log_malformed)
-
-
 def _log_malformed(reason: str) -> None:
     _log.warning('Malformed request: {}.', reason)
 
--- a/bergamotmount/platform/settings.py
+++ b/bergamotmount/platform/settings.py
@@ -11,6 +11,7 @@
 from bergamotmount.fieldchecks import is_address, is_name, is_port
 from bergamotmount.forwarding.policywatch import APPLY_MS
 from bergamotmount.organisations.quotaowner import QuotaOptions
+from bergamotmount.processlimits import ProcessLimits
 from bergamotmount.settingserror import SettingsError
 
 #: Maximum length of a rejected value in a message, in characters.
@@ -34,7 +35,8 @@
     ``key_withdrawal_ms`` is the time after which no node may accept a key that
     was withdrawn, infinite if nodes that are cut off may. A published policy
     has to be in force after ``policy_apply_ms``. ``quota`` is what is
-    tolerated beyond the quotas of organisations.
+    tolerated beyond the quotas of organisations. ``limits`` are those of the
+    host on the memory and the descriptors of this process.
     ``is_first_start`` tells that the whole deployment starts for the first
     time.
     """
@@ -60,6 +62,7 @@
     key_withdrawal_ms: float = math.inf
     policy_apply_ms: float = APPLY_MS
     quota: QuotaOptions = QuotaOptions()
+    limits: ProcessLimits = ProcessLimits()
 
 
 def changed_fields(
@@ -125,6 +128,18 @@
             fields.number('terms.bounds.quota_overage', default='0'),
             fields.number('terms.bounds.quota_slack', default='0'),
         ),
+        limits=ProcessLimits(
+            fields.positive(
+                'local_node.limits.memory_mb',
+                default=f'{ProcessLimits().memory_mb}',
+            ),
+            int(
+                fields.positive(
+                    'local_node.limits.max_fds',
+                    default=f'{ProcessLimits().max_fds}',
+                )
+            ),
+        ),
     )
     if fields.problems:
         raise SettingsError(fields.problems)
@@ -175,6 +190,11 @@
         self._require(name, is_valid, f'a number from 0 to {MAX_NUMBER}')
         return number if is_valid else 0
 
+    def positive(self, name: str, default: str) -> float:
+        number = self.number(name, default)
+        self._require(name, number > 0, 'a number above 0')
+        return number
+
     def interval(self, name: str, default: str = '') -> float:
         """Return a time in milliseconds, stated in seconds."""
         number = self.number(name, default)
--- a/bergamotmount/reasons.py
+++ b/bergamotmount/reasons.py
@@ -36,6 +36,7 @@
     TOO_DEEP = 'too_deep'
     BAD_HEADER = 'bad_header'
     BODY_TOO_LARGE = 'body_too_large'
+    NO_MEMORY = 'no_memory'
     CANCELLED = 'cancelled'
     UNRECOGNIZED = 'unrecognized'
 
@@ -101,6 +102,9 @@
     MALFORMED_REQUEST = 'malformed_request'
     STRAY_RESPONSE = 'stray_response'
     INTERNAL_ERROR = 'internal_error'
+    NO_MEMORY = 'no_memory'
+    SHED = 'shed'
+    TOO_MANY_CONNECTIONS = 'too_many_connections'
 
 
 #: Refusals after which another server of the service may accept a request.
@@ -115,5 +119,6 @@
         RefusalReason.SERVER_SHED,
         RefusalReason.UNREACHABLE,
         RefusalReason.TICKETS_FULL,
+        RefusalReason.NO_MEMORY,
     )
 )
--- a/bergamotmount/serving.py
+++ b/bergamotmount/serving.py
@@ -5,8 +5,15 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
+from bergamotmount.clock import Clock
 from bergamotmount.counters import Counters
 from bergamotmount.log import part_logger
+from bergamotmount.memoryaccount import (
+    REQUEST_BYTES,
+    HoldingKind,
+    MemoryAccount,
+    headers_memory,
+)
 from bergamotmount.messages import (
     MAX_BODY_BYTES,
     Answer,
@@ -15,9 +22,12 @@
     Message,
     Ping,
 )
-from bergamotmount.outcomes import Answered, Unknown
+from bergamotmount.outcomes import Answered, NotRun, Unknown
 from bergamotmount.ports import Channel, ChannelError, UnsendableError
-from bergamotmount.reasons import DropReason, UnknownReason
+from bergamotmount.reasons import DropReason, RefusalReason, UnknownReason
+
+#: Time after which a call may be repeated that was refused for lack of memory.
+NO_MEMORY_RETRY_MS = 1000
 
 _log = part_logger('peers')
 
@@ -36,8 +46,15 @@
         on_call: CallHandler,
         on_message: MessageHandler,
         counters: Counters,
+        account: MemoryAccount | None = None,
     ) -> None:
-        """Dispatch calls to ``on_call``, other messages to ``on_message``."""
+        """Dispatch calls to ``on_call``, other messages to ``on_message``.
+
+        Calls in progress count in ``account``.
+        """
+        self._account = account or MemoryAccount(Clock())
+        self._holding = self._account.open(HoldingKind.PEER, _keep_calls)
+        self._held_bytes = 0
         self._on_call = on_call
         self._on_message = on_message
         self._counters = counters
@@ -97,12 +114,25 @@
 
     async def _run_call(self, channel: Channel, call: Call) -> None:
         self._active_calls += 1
+        held_bytes = _memory_of(call)
+        is_admitted = self._account.admits(held_bytes)
         try:
-            _send_answer(channel, await self._answer(call))
+            if is_admitted:
+                self._hold(held_bytes)
+                _send_answer(channel, await self._answer(call))
+            else:
+                self._counters.dropped(DropReason.NO_MEMORY)
+                _send_answer(channel, _no_memory(call.attempt))
         except ChannelError:
             return
         finally:
             self._active_calls -= 1
+            if is_admitted:
+                self._hold(-held_bytes)
+
+    def _hold(self, more_bytes: int) -> None:
+        self._held_bytes += more_bytes
+        self._holding.update(self._held_bytes)
 
     async def _answer(self, call: Call) -> Answer:
         """Return the answer to a call; after an error it may have run."""
@@ -124,6 +154,22 @@
     return Answer(attempt, Unknown(UnknownReason.ANSWER_LOST))
 
 
+def _no_memory(attempt: int) -> Answer:
+    """Return the answer to a call that wasn't passed on."""
+    refusal = NotRun(RefusalReason.NO_MEMORY, NO_MEMORY_RETRY_MS)
+    return Answer(attempt, refusal)
+
+
+def _memory_of(call: Call) -> int:
+    text_bytes = sum(map(len, call.headers))
+    headers_bytes = headers_memory(len(call.headers) // 2, text_bytes)
+    return REQUEST_BYTES + headers_bytes + len(call.body)
+
+
+def _keep_calls() -> None:
+    """Free nothing: calls in progress may be with the server."""
+
+
 def _send_answer(channel: Channel, answer: Answer) -> None:
     try:
         channel.send(answer)
--- a/bergamotmount/tests/crowdfixture.py
+++ b/bergamotmount/tests/crowdfixture.py
@@ -50,6 +50,7 @@
 
     memory_mb = MEMORY_MB
     max_fds = MAX_FDS
+    max_body_bytes = MAX_BODY_BYTES
 
     #: By how much the server is slower than usual.
     slowdown = 1
@@ -66,7 +67,7 @@
         await self.store.start(self.store_address)
         self.addCleanup(self.store.close)
         policy = make_policy(1, {'order': 'desk', 'view': 'desk'}, self.rng)
-        policy['limits']['max_body_bytes'] = MAX_BODY_BYTES
+        policy['limits']['max_body_bytes'] = self.max_body_bytes
         policy['limits']['header_timeout_s'] = HEADER_TIMEOUT_S
         self.store.publish(policy)
         self.most_fds = 0
--- a/bergamotmount/tests/crowds.py
+++ b/bergamotmount/tests/crowds.py
@@ -92,9 +92,11 @@
                 await asyncio.sleep(self.pause_s)
 
 
-def short_lines(is_whole: bool) -> list[bytes]:
+def short_lines(
+    is_whole: bool, line: bytes = b'ab:c\r\n', count: int = SHORT_LINES
+) -> list[bytes]:
     """Return a head of very many short lines, with or without its end."""
-    return _with_lines(b'ab:c\r\n' * SHORT_LINES, is_whole)
+    return _with_lines(line * count, is_whole)
 
 
 def odd_lines(is_whole: bool) -> list[bytes]:
--- a/bergamotmount/tests/faketransport.py
+++ b/bergamotmount/tests/faketransport.py
@@ -36,6 +36,9 @@
     def resume_reading(self) -> None:
         self.is_paused = False
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def is_closing(self) -> bool:
         return self.is_closed
 
--- a/bergamotmount/tests/forwardingfixture.py
+++ b/bergamotmount/tests/forwardingfixture.py
@@ -65,9 +65,11 @@
         self.number = 1
         self.requests = 0
 
-    async def exchange(self, packed, matches, is_head=False) -> HttpResponse:
+    async def exchange(
+        self, packed, matches, is_head=False, body=b''
+    ) -> HttpResponse:
         self.requests += 1
-        request = parse_request(packed)
+        request = parse_request(packed + body)
         response = await self.server.serve(request)
         if not matches(response):
             raise BrokenExchangeError('response does not match', True, False)
--- a/bergamotmount/tests/test_crowds.py
+++ b/bergamotmount/tests/test_crowds.py
@@ -17,6 +17,7 @@
     short_lines,
     sized_body,
 )
+from bergamotmount.tools.soak.httpcaller import ask
 
 #: Size of a body, and how many callers send one.
 BODY_BYTES = 8 * 1024 * 1024
@@ -127,3 +128,46 @@
     async def test_heads_without_end(self):
         """They stop in the middle of a head."""
         await self.play(Crowd(HEAD_CALLERS, [b'GET / HTTP/1.1\r\nHost:']))
+
+
+class CalmTest(CrowdTestCase):
+    """A single request inside the limits is served, whatever its form.
+
+    The limits are those of the users' hosts.
+    """
+
+    memory_mb = 300
+    max_fds = 4100
+    max_body_bytes = 64 * 1024 * 1024
+
+    async def assert_answered(self, pieces) -> None:
+        """Send one request; check that it is answered with success."""
+        packed = b''.join(pieces)
+        response = await ask(self.node.addresses.callers, packed, 20)
+        self.assertIsNotNone(response)
+        self.assertEqual(response.status, 200)
+        self.assert_within_limits(self.node)
+
+    async def test_head_of_short_lines(self):
+        """A head of just under 16,384 bytes, in 3,230 lines."""
+        await self.assert_answered(short_lines(True, b'a:b\r\n', 3230))
+
+    async def test_one_long_line(self):
+        """A header of 15.8 kB."""
+        line = b'a:%b\r\n' % (b'b' * 15_800)
+        await self.assert_answered(short_lines(True, line, 1))
+
+    async def test_body(self):
+        """The largest body, with a length."""
+        pieces = sized_body(self.max_body_bytes, True, WRITE_BYTES)
+        await self.assert_answered(pieces)
+
+    async def test_large_chunks(self):
+        """The largest body, in chunks of 4 MB."""
+        await self.assert_answered(chunked_body(4 * 1024 * 1024, 16, True, 1))
+
+    async def test_tiny_chunks(self):
+        """A body of 800 kB in chunks of 2 bytes."""
+        await self.assert_answered(
+            chunked_body(TINY_CHUNK_BYTES, 400_000, True, CHUNKS_PER_PIECE)
+        )
--- a/bergamotmount/tools/emulation/server.py
+++ b/bergamotmount/tools/emulation/server.py
@@ -187,6 +187,7 @@
         packed: bytes,
         matches: Callable[[HttpResponse], bool],
         is_head: bool = False,
+        body: bytes = b'',
     ) -> HttpResponse:
         """Send a request and return its response.
 
@@ -195,7 +196,7 @@
         """
         self.requests += 1
         await asyncio.sleep(SERVER_DELAY_S)
-        response = await self._server.serve(_parse_request(packed))
+        response = await self._server.serve(_parse_request(packed + body))
         await asyncio.sleep(SERVER_DELAY_S)
         if not matches(response):
             raise BrokenExchangeError(
--- a/bergamotmount/wire/frames.py
+++ b/bergamotmount/wire/frames.py
@@ -70,6 +70,11 @@
         self._buffer = self._buffer[start:]
         return frames
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the frame that isn't complete yet."""
+        return len(self._buffer)
+
     def end(self) -> None:
         """Raise :class:`FrameError` when the stream ends within a frame."""
         if self._buffer:
--- a/bergamotmount/wire/tcp.py
+++ b/bergamotmount/wire/tcp.py
@@ -2,11 +2,19 @@
 
 import asyncio
 import collections
+import dataclasses
+import math
 import struct
 from collections.abc import Awaitable, Callable
 
+from bergamotmount.clock import Clock
 from bergamotmount.counters import Counters
 from bergamotmount.log import part_logger
+from bergamotmount.memoryaccount import (
+    CONNECTION_BYTES,
+    HoldingKind,
+    MemoryAccount,
+)
 from bergamotmount.messages import Heartbeat, Message
 from bergamotmount.ports import ChannelError, UnsendableError
 from bergamotmount.reasons import DropReason
@@ -26,8 +34,13 @@
 #: Unsent bytes above which the connection to a slow peer is closed.
 MAX_UNSENT_BYTES = 8 << 20
 
-#: Messages waiting for :meth:`TcpChannel.receive` above which reading pauses.
+#: Messages waiting for :meth:`TcpChannel.receive`, and the bytes that they had
+#: on the wire, above which reading pauses.
 MAX_QUEUED_MESSAGES = 256
+MAX_QUEUED_BYTES = 4 << 20
+
+#: Unsent bytes above which the transport tells when they have been sent.
+REPORTED_UNSENT_BYTES = 64 * 1024
 
 _log = part_logger('links')
 
@@ -36,6 +49,14 @@
     """Ignore that a channel has been opened."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Queued:
+    """A message that waits, and the bytes that it had on the wire."""
+
+    message: Message
+    wire_bytes: int
+
+
 class TcpChannel(asyncio.Protocol):
     """Channel over one TCP connection.
 
@@ -48,14 +69,21 @@
         counters: Counters,
         on_open: Callable[['TcpChannel'], None] = _ignore_open,
         max_payload_bytes: int = MAX_PAYLOAD_BYTES,
+        account: MemoryAccount | None = None,
     ) -> None:
-        """Create a channel; ``on_open`` is called when it is connected."""
+        """Create a channel; ``on_open`` is called when it is connected.
+
+        What it holds counts in ``account``.
+        """
+        account = account or MemoryAccount(Clock())
+        self._holding = account.open(HoldingKind.PEER, self._shed)
         self._counters = counters
         self._on_open = on_open
         self._max_payload_bytes = max_payload_bytes
         self._splitter = FrameSplitter(max_payload_bytes)
         self._transport: asyncio.Transport | None = None
-        self._messages: collections.deque[Message] = collections.deque()
+        self._messages: collections.deque[_Queued] = collections.deque()
+        self._queued_bytes = 0
         self._message_or_end = asyncio.Event()
         self._end_reason: str | None = None
         self._is_reading_paused = False
@@ -65,26 +93,39 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport of the new connection."""
         self._transport = transport
+        transport.set_write_buffer_limits(high=REPORTED_UNSENT_BYTES, low=0)
         self._on_open(self)
 
+    @property
+    def received_ms(self) -> float:
+        """When bytes were last received or sent."""
+        return self._holding.moved_ms
+
+    def pause_writing(self) -> None:
+        """Go on: :meth:`send` closes the connection when it is too slow."""
+
+    def resume_writing(self) -> None:
+        """Hold no unsent bytes any more."""
+        self._holding.move()
+        self._update_holding()
+
     def data_received(self, received: bytes) -> None:
         """Decode messages; an invalid frame closes the connection.
 
         A frame that holds no message of this release is dropped alone: calls
         in flight on the connection go on.
         """
+        self._holding.move()
         try:
             for kind, payload in self._splitter.feed(received):
                 self._decode(*self._decompress(kind, payload))
         except FrameError as error:
             self._fail(error)
-        if (
-            len(self._messages) > MAX_QUEUED_MESSAGES
-            and not self._is_reading_paused
-        ):
+        if self._is_queue_full and not self._is_reading_paused:
             self._is_reading_paused = True
             self._transport.pause_reading()
         self._message_or_end.set()
+        self._update_holding()
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the channel after the messages that are still queued."""
@@ -95,6 +136,7 @@
                 self._fail(truncated)
         self._end_reason = self._end_reason or f'connection lost: {error}'
         self._message_or_end.set()
+        self._holding.close()
 
     def start_compressing(self) -> None:
         """Compress all messages sent from now on.
@@ -122,6 +164,8 @@
             frame_kind |= COMPRESSED_FLAG
             payload = self._compressor.compress(payload)
         self._transport.write(pack_frame(frame_kind, payload))
+        if self._transport.get_write_buffer_size() > REPORTED_UNSENT_BYTES:
+            self._update_holding()
 
     async def receive(self) -> Message:
         """Return the next message.
@@ -133,13 +177,14 @@
                 raise ChannelError(self._end_reason)
             self._message_or_end.clear()
             await self._message_or_end.wait()
-        if (
-            self._is_reading_paused
-            and len(self._messages) <= MAX_QUEUED_MESSAGES
-        ):
+        queued = self._messages.popleft()
+        self._queued_bytes -= queued.wire_bytes
+        if self._is_reading_paused and not self._is_queue_full:
             self._is_reading_paused = False
             self._transport.resume_reading()
-        return self._messages.popleft()
+        if queued.wire_bytes > REPORTED_UNSENT_BYTES:
+            self._update_holding()
+        return queued.message
 
     def close(self) -> None:
         """Close the connection and discard unsent bytes."""
@@ -166,7 +211,28 @@
             return
         if isinstance(message, Heartbeat) and message.omitted:
             self._counters.dropped(DropReason.MESSAGE_PART)
-        self._messages.append(message)
+        self._messages.append(_Queued(message, len(payload)))
+        self._queued_bytes += len(payload)
+
+    @property
+    def _is_queue_full(self) -> bool:
+        return (
+            len(self._messages) > MAX_QUEUED_MESSAGES
+            or self._queued_bytes > MAX_QUEUED_BYTES
+        )
+
+    def _shed(self) -> None:
+        """Close a connection that holds too much."""
+        self._counters.dropped(DropReason.NO_MEMORY)
+        self.close()
+
+    def _update_holding(self) -> None:
+        held_bytes = (
+            self._splitter.held_bytes
+            + self._queued_bytes
+            + self._transport.get_write_buffer_size()
+        )
+        self._holding.update(CONNECTION_BYTES + held_bytes, held_bytes)
 
     def _fail(self, error: FrameError) -> None:
         self._counters.dropped(error.reason)
@@ -193,12 +259,14 @@
         self,
         counters: Counters,
         should_compress: Callable[[str], bool] = _never_compress,
+        account: MemoryAccount | None = None,
     ) -> None:
         """Count dropped connections in ``counters``.
 
         Messages to an address are compressed if ``should_compress`` returns
-        true for it.
+        true for it. What channels hold counts in ``account``.
         """
+        self._account = account
         self._counters = counters
         self._should_compress = should_compress
 
@@ -211,7 +279,7 @@
         loop = asyncio.get_running_loop()
         try:
             _, channel = await loop.create_connection(
-                lambda: TcpChannel(self._counters),
+                lambda: TcpChannel(self._counters, account=self._account),
                 host,
                 int(port),
             )
@@ -229,10 +297,19 @@
         self,
         serve: Callable[[TcpChannel], Awaitable[None]],
         counters: Counters,
+        account: MemoryAccount | None = None,
+        max_connections: float = math.inf,
     ) -> None:
-        """Pass each accepted channel to ``serve``."""
+        """Pass each accepted channel to ``serve``.
+
+        What channels hold counts in ``account``. Where there are more than
+        ``max_connections``, the one that was silent for longest is closed.
+        """
         self._serve = serve
         self._counters = counters
+        self._account = account
+        self._max_connections = max_connections
+        self._channels: set[TcpChannel] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
 
@@ -243,7 +320,9 @@
         """
         host, _, port = address.rpartition(':')
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: TcpChannel(self._counters, self._accept),
+            lambda: TcpChannel(
+                self._counters, self._accept, account=self._account
+            ),
             host,
             int(port),
         )
@@ -260,6 +339,18 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _accept(self, channel: TcpChannel) -> None:
-        task = asyncio.create_task(self._serve(channel))
+        if len(self._channels) >= self._max_connections:
+            self._counters.dropped(DropReason.TOO_MANY_CONNECTIONS)
+            silent = min(self._channels, key=lambda each: each.received_ms)
+            self._channels.discard(silent)
+            silent.close()
+        self._channels.add(channel)
+        task = asyncio.create_task(self._serve_until_end(channel))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+    async def _serve_until_end(self, channel: TcpChannel) -> None:
+        try:
+            await self._serve(channel)
+        finally:
+            self._channels.discard(channel)
