--- a/bergamotmount/tests/faketransport.py
+++ b/bergamotmount/tests/faketransport.py
@@ -13,6 +13,7 @@
     def __init__(self, protocol: asyncio.Protocol) -> None:
         super().__init__({'peername': ('10.0.0.1', 4000)})
         self.written = bytearray()
+        self.unsent_bytes = 0
         self.is_paused = False
         self.is_closed = False
         self.has_eof = False
@@ -37,7 +38,7 @@
         self.is_paused = False
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unsent_bytes
 
     def is_closing(self) -> bool:
         return self.is_closed
