Wait for callers that read their answers before a planned stop ends

Cause: Connection.is_idle looked at requests only. A connection whose answer lay in the buffer of its transport counted as idle: it was closed as idle after the idle timeout, and the node didn't wait for it when it stopped.

Change: a connection with unsent bytes isn't idle. The wait is bounded as before by the end of the graceful stop, and by the idle timeout for one that reads nothing at all.

Ruled out: waiting in node.stop alone; HttpServer.check_timeouts closed slow readers as idle too, which test_caller_that_never_reads shows.

--- a/bergamotmount/forwarding/httpconnection.py
+++ b/bergamotmount/forwarding/httpconnection.py
@@ -168,8 +168,16 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being received or waits for its reply."""
-        return not (self.pipeline or self.is_receiving or self._is_lingering)
+        """Whether no request is being received or waits for its reply.
+
+        Also none whose reply is still being sent: the caller reads it.
+        """
+        return not (
+            self.pipeline
+            or self.is_receiving
+            or self._is_lingering
+            or self._transport.get_write_buffer_size()
+        )
 
     @property
     def is_receiving(self) -> bool:
--- a/bergamotmount/tests/test_httpserver.py
+++ b/bergamotmount/tests/test_httpserver.py
@@ -191,6 +191,18 @@
         self.assertEqual(statuses, [b'502', b'200'])
         self.assertEqual(self.cancelled, ['/a/1'])
 
+    async def test_reply_that_is_being_read_keeps_the_server_busy(self):
+        """A stop cut answers that callers were still reading."""
+        connection = self.connect()
+        connection.data_received(GET)
+        self.transport.unsent_bytes = 1000
+        await self.settle()
+        self.assertTrue(self.server.is_busy)
+        self.server.close_idle()
+        self.assertFalse(self.transport.is_closed)
+        self.transport.unsent_bytes = 0
+        self.assertFalse(self.server.is_busy)
+
 
 class MalformedTest(ServerTestCase):
     """Ambiguous requests must be rejected and never forwarded.
@@ -346,6 +358,20 @@
         self.server.check_timeouts()
         self.assertTrue(self.transport.is_closed)
 
+    async def test_caller_that_never_reads(self):
+        """It kept its connection, and what was held for it, for good."""
+        connection = self.connect(HttpLimits(idle_timeout_ms=1000))
+        connection.data_received(GET)
+        await self.settle()
+        for unsent_bytes in (3000, 2000, 2000):
+            self.transport.unsent_bytes = unsent_bytes
+            self.server.check_timeouts()
+            self.assertFalse(self.transport.is_closed)
+            await asyncio.sleep(0.9)
+        await asyncio.sleep(0.2)
+        self.server.check_timeouts()
+        self.assertTrue(self.transport.is_closed)
+
     async def test_slow_reader_holds_replies_back(self):
         """Replies aren't written while the caller doesn't read."""
         connection = self.connect()
