Reject announcements without zone or version

Cause: only the fields that the node uses were decoded, so that an announcement that no server makes passed for one.

Change: zone and version must be there, as text. Such an announcement gets 400 and changes nothing.

Ruled out: refusing to acknowledge outdated announcements. A server's own late one is outdated too, and would go to the next node.

--- a/bergamotmount/platform/control.py
+++ b/bergamotmount/platform/control.py
@@ -42,6 +42,9 @@
 class _ServerInfo(msgspec.Struct):
     service: str
     slots: int
+    # Not used, but an announcement without them is none of a server.
+    zone: str
+    version: str
 
 
 class _ServerStatus(msgspec.Struct):
--- a/bergamotmount/tests/test_oddinput.py
+++ b/bergamotmount/tests/test_oddinput.py
@@ -202,7 +202,12 @@
     async def announce(self, instance: str = 'i-1', **changes: object) -> int:
         """Announce a sound server, but for these changes."""
         status = {'state': 'ready', 'sequence': 1, 'cold_left_s': 0}
-        server_info = {'service': 'a', 'slots': 4}
+        server_info = {
+            'service': 'a',
+            'slots': 4,
+            'zone': 'east',
+            'version': 'v1',
+        }
         body: dict[str, object] = {'address': 'a1:80', 'born': 100}
         for field, odd in changes.items():
             owner = next(
@@ -223,6 +228,8 @@
             'slots': (0, -1, 2**31, 10**400, 4.5),
             'service': ('', 'a\nb', ' a', 'a' * 256, None, 7),
             'state': ('', 'asleep', None, 7, []),
+            'zone': (None, 7, []),
+            'version': (None, 7, []),
         }
         for field, odd_values in odd_by_field.items():
             for odd in odd_values:
--- a/bergamotmount/tests/test_platform.py
+++ b/bergamotmount/tests/test_platform.py
@@ -291,6 +291,10 @@
         self.assertEqual(settings.quota, QuotaOptions(5000, 0.1, 20))
 
 
+#: Fields of an announcement that a node doesn't use.
+PLACE = {'zone': 'east', 'version': 'v1'}
+
+
 class ControlTest(VirtualTestCase):
     """Invalid announcements are rejected without a change of server state."""
 
@@ -307,7 +311,7 @@
         body = {
             'address': 'a1:80',
             'born': 100,
-            'info': {'service': 'a', 'slots': 4},
+            'info': {'service': 'a', 'slots': 4, **PLACE},
             'status': {'state': 'ready', 'sequence': 1, **status_changes},
             **(changes or {}),
         }
@@ -347,9 +351,12 @@
         for changes in (
             {'address': 'b1:80'},
             {'address': 7},
-            {'info': {'service': 'a', 'slots': 0}},
-            {'info': {'slots': 4}},
-            {'info': {'service': 'a', 'slots': 2**31}},
+            {'info': {'service': 'a', 'slots': 0, **PLACE}},
+            {'info': {'slots': 4, **PLACE}},
+            {'info': {'service': 'a', 'slots': 2**31, **PLACE}},
+            {'info': {'service': 'a', 'slots': 4, 'version': 'v1'}},
+            {'info': {'service': 'a', 'slots': 4, 'zone': 'east'}},
+            {'info': {'service': 'a', 'slots': 4, **PLACE, 'zone': 7}},
             {'born': 'yesterday'},
             {'status': {'state': 'asleep', 'sequence': 5}},
             {'status': {'state': 'ready', 'sequence': 'x'}},
@@ -361,6 +368,16 @@
                 )
         self.fixture.close()
 
+    async def test_departure_after_one_that_lacks_a_field(self):
+        """Another writer's announcement outdated the server's own."""
+        await self.make_node()
+        await self.announce()
+        odd = {'service': 'a', 'slots': 4, 'version': 'v1'}
+        await self.announce({'info': odd}, sequence=6)
+        self.assertEqual(await self.announce(state='draining', sequence=2), 200)
+        self.assertFalse(self.host.node.local_server.lifecycle.is_accepting)
+        self.fixture.close()
+
     async def test_node_is_not_ready_without_policy(self):
         await self.make_node()
         request = HttpRequest('GET', names.READY_PATH, [])
--- a/bergamotmount/tools/soak/oddinput.py
+++ b/bergamotmount/tools/soak/oddinput.py
@@ -54,7 +54,12 @@
     """Return an announcement of a server that can't be one."""
     field = rng.choice(('born', 'slots', 'sequence', 'state', 'unread'))
     status = {'state': 'draining', 'sequence': 10**6}
-    server_info = {'service': service, 'slots': 16}
+    server_info = {
+        'service': service,
+        'slots': 16,
+        'zone': 'any',
+        'version': 'v1',
+    }
     document: dict[str, object] = {
         'address': address,
         'born': 1,
