Take no response that holds the status line of another one

Cause: the bytes after a request were parsed as one stream. The cut copy's last line went on with the status line of the real answer, so that one head had the copy's status and X-Not-Executed and the answer's id.

Change: a header or a reason phrase that holds a status line ends the exchange as broken. Whether the request ran is unknown then: 502, or a retry where the kind allows it.

Ruled out: comparing ids; the id that counted was the real answer's. Counting headers that come twice; which ones do depends on the place of the cut.

--- a/bergamotmount/forwarding/serverconnection.py
+++ b/bergamotmount/forwarding/serverconnection.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import io
+import re
 import socket
 from collections.abc import Callable
 
@@ -47,6 +48,10 @@
 #: Minimum status of a final response; lower ones are interim responses.
 _FINAL_STATUS = 200
 
+#: Beginning of a response within another one's head: that was cut, and the
+#: next one followed it.
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [0-9]{3}(?: |$)')
+
 _MS_PER_SECOND = 1000
 
 #: TCP keep-alive probes, which detect a dead peer behind an open connection:
@@ -197,8 +202,13 @@
         self._reset_message()
         self._in_message = True
 
+    def on_status(self, phrase: bytes) -> None:
+        """Fail if the status line holds another one."""
+        self._check_for_status_line(phrase)
+
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; trailers are dropped."""
+        self._check_for_status_line(text)
         if not self._in_head:
             return
         self._has_framing |= name.lower() in _FRAMING_HEADERS
@@ -321,6 +331,11 @@
         exchange.response.set_result(response)
         self._exchange = None
 
+    def _check_for_status_line(self, text: bytes) -> None:
+        if _STATUS_LINE.search(text) is not None:
+            self.is_usable = False
+            self._fail('response within the head of another one')
+
     def _shed(self) -> None:
         """Give up the response that is being received."""
         self._fail('no memory for the response')
--- a/bergamotmount/tests/test_httpclient.py
+++ b/bergamotmount/tests/test_httpclient.py
@@ -66,6 +66,29 @@
         self.assertEqual(response.body, b'abc')
         self.assertTrue(connection.is_usable)
 
+    async def test_late_refusal_that_is_cut_in_its_head(self):
+        """Its head and the answer's were one: the order seemed refused.
+
+        The second copy of an earlier refusal comes late, and is cut anywhere.
+        """
+        refusal = (
+            b'HTTP/1.1 503 Service Unavailable\r\nServer: a/4.2\r\n'
+            b'X-Not-Executed: 1\r\nRetry-After: 0.25\r\nId: 6\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        for beginning in prefixes_of(refusal)[1:]:
+            connection = self.connect()
+            task = await self.start(connection)
+            connection.data_received(beginning + response_to('7'))
+            connection.eof_received()
+            with self.subTest(beginning):
+                await self.assert_broken(task)
+
+    async def assert_broken(self, task: asyncio.Task) -> None:
+        """Check that an exchange has failed at once."""
+        with self.assertRaises(BrokenExchangeError):
+            await asyncio.wait_for(task, 0.1)
+
     async def test_response_without_length_ends_with_connection(self):
         """The end of the connection completes a body without a length."""
         connection = self.connect()
