Fail at once on a response whose status is no HTTP status

Callers saw 504, only once their time was up, though the server had answered at once with status 000 or 099. On other systems of this kind the client got it as an answer; here it didn't on the users' path, but it did on the product's own interface, where 000 was returned as the status of the answer.

Cause: all below 200 was taken for an interim response, after which the final one is awaited. The HTTP library of the own interface accepts any three digits.

Change: a status below 100 ends the exchange as broken, on both interfaces: the outcome is unknown (502), or the request is retried where its kind allows it.

Left as they are: 100 and 101 without a final answer give 502 already; 600 to 999 go to the client as the server sent them, as its status is returned unchanged, and clients treat them as 5xx.

--- a/bergamotmount/adapters/server.py
+++ b/bergamotmount/adapters/server.py
@@ -31,6 +31,9 @@
 KEEPALIVE_S = 15
 
 _SKIPPED_HEADERS = ('User-Agent', 'Accept', 'Accept-Encoding')
+#: Minimum status of a response.
+_MIN_STATUS = 100
+
 _NO_BODY_STATUSES = frozenset((204, 304))
 _MAX_CACHED_URLS = 10_000
 
@@ -155,7 +158,8 @@
             allow_redirects=False,
             trace_request_ctx=sent,
         ) as response:
-            if not _is_response_to(response, sent):
+            is_response = response.status >= _MIN_STATUS
+            if not is_response or not _is_response_to(response, sent):
                 response.close_connection()
                 return ServerLost()
             return await self._read_reply(response)
--- a/bergamotmount/forwarding/serverconnection.py
+++ b/bergamotmount/forwarding/serverconnection.py
@@ -45,7 +45,8 @@
 #: Headers that tell how a body ends.
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
-#: Minimum status of a final response; lower ones are interim responses.
+#: Minimum status of a response, and of a final one; those between are interim.
+_MIN_STATUS = 100
 _FINAL_STATUS = 200
 
 #: Beginning of a response within another one's head: that was cut, and the
@@ -221,6 +222,9 @@
         """Determine how the body ends."""
         self._in_head = False
         self._ends_at_close = not self._has_framing
+        if self._parser.get_status_code() < _MIN_STATUS:
+            self._fail('no HTTP status')
+            return
         if self._exchange is not None and self._exchange.is_head:
             self.is_usable = False
             self._complete(has_length=True)
--- a/bergamotmount/tests/test_httpclient.py
+++ b/bergamotmount/tests/test_httpclient.py
@@ -66,6 +66,15 @@
         self.assertEqual(response.body, b'abc')
         self.assertTrue(connection.is_usable)
 
+    async def test_status_that_is_none(self):
+        """The caller got 504 at its deadline, as 000 passed for interim."""
+        for status in (b'000', b'001', b'099'):
+            connection = self.connect()
+            task = await self.start(connection)
+            connection.data_received(response_to('7').replace(b'200', status))
+            await self.assert_broken(task)
+            self.assertFalse(connection.is_usable)
+
     async def test_late_refusal_that_is_cut_in_its_head(self):
         """Its head and the answer's were one: the order seemed refused.
 
--- a/bergamotmount/tests/test_server.py
+++ b/bergamotmount/tests/test_server.py
@@ -86,6 +86,8 @@
             b'HTTP/1.1 200 OK\r\n\r\nbody without a length',
             b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo',
             b'garbage\r\n\r\n',
+            COMPLETE_ANSWER.replace(b'200', b'000'),
+            COMPLETE_ANSWER.replace(b'200', b'099'),
         ):
             self.answer = answer
             with self.subTest(answer=answer):
