Drop at once what a closed connection between nodes holds; test other doors

Callers saw: bytes that come from elsewhere than callers took a node over its memory too: frames to its address for other nodes, bodies to the addresses of operators and the platform, heads of its server.

For connections between nodes the account alone was not enough: FrameSplitter copied all that it held at each read, and a connection that was given up kept its bytes until the garbage collector came, which is late (50,000 allocations).

Change: the splitter copies only when a frame is complete, and lets go of its bytes when the connection is closed; a shed connection also of its queue.

--- a/bergamotmount/tests/crowdfixture.py
+++ b/bergamotmount/tests/crowdfixture.py
@@ -54,6 +54,7 @@
 
     #: By how much the server is slower than usual.
     slowdown = 1
+    server_type = StandinServer
 
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -98,7 +99,7 @@
         addresses = ServerAddresses(
             node.addresses.server, node.addresses.control
         )
-        server = StandinServer(
+        server = self.server_type(
             f'i-{node.name}', node.service, addresses, self.ledger, self.rng
         )
         server.misbehaviour = Misbehaviour(slowdown=self.slowdown)
--- a/bergamotmount/tests/crowds.py
+++ b/bergamotmount/tests/crowds.py
@@ -12,8 +12,11 @@
 import contextlib
 import dataclasses
 import itertools
+import socket
 from collections.abc import Sequence
 
+from bergamotmount.wire.frames import pack_frame
+
 #: Time in which all callers of a crowd send their bytes, at most. Those that
 #: the node doesn't read any more stay where they are.
 SEND_TIMEOUT_S = 20
@@ -47,7 +50,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Crowd:
-    """Callers that all send ``pieces``, and pause after each for a time."""
+    """Callers that all send ``pieces``, and pause after each for a time.
+
+    Callers that don't read keep few bytes in their kernel.
+    """
 
     callers: int
     pieces: Sequence[bytes]
@@ -81,7 +87,7 @@
         # A node may refuse or close the connection of such a caller.
         with contextlib.suppress(OSError):
             reader, writer = await asyncio.open_connection(
-                host, int(port), limit=PIECE_BYTES
+                sock=await _connect(host, int(port)), limit=PIECE_BYTES
             )
             self._writers.append(writer)
             if self.reads:
@@ -125,6 +131,12 @@
     return pieces
 
 
+def frame_without_end(payload_bytes: int) -> list[bytes]:
+    """Return a frame between nodes whose last byte lacks."""
+    frame = pack_frame(1, b'x' * payload_bytes)
+    return _cut(frame[:-1], WRITE_BYTES)
+
+
 def plain_request(request: str) -> bytes:
     """Return the ordinary request of a caller that behaves."""
     return (
@@ -143,6 +155,14 @@
     return [body[start : start + step] for start in starts]
 
 
+async def _connect(host: str, port: int) -> socket.socket:
+    opened = socket.socket()
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_BYTES)
+    opened.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(opened, (host, port))
+    return opened
+
+
 async def _discard(reader: asyncio.StreamReader) -> None:
     with contextlib.suppress(OSError):
         is_open = True
--- a/bergamotmount/tools/soak/standinserver.py
+++ b/bergamotmount/tools/soak/standinserver.py
@@ -91,6 +91,7 @@
         self.ledger = ledger
         self.rng = rng
         self.misbehaviour = Misbehaviour()
+        self.slots = SLOTS
         self.free_slots = asyncio.Semaphore(SLOTS)
         self.connections: set[_ServerSide] = set()
         self._born_ms = int(time.time() * MS_PER_SECOND)
@@ -103,10 +104,14 @@
         host, _, port = self.addresses.own.rpartition(':')
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: _ServerSide(self), host, int(port), backlog=512
+            self.make_connection, host, int(port), backlog=512
         )
         self._tasks.append(asyncio.create_task(self._announce_regularly()))
 
+    def make_connection(self) -> '_ServerSide':
+        """Return the server's side of a new connection."""
+        return _ServerSide(self)
+
     async def leave(self) -> None:
         """Announce the departure, serve on for a while, then end."""
         self._state = 'draining'
@@ -135,7 +140,7 @@
                 'service': self.service,
                 'version': 'v1',
                 'zone': 'any',
-                'slots': SLOTS,
+                'slots': self.slots,
             },
             'status': {
                 'state': self._state,
--- a/bergamotmount/wire/frames.py
+++ b/bergamotmount/wire/frames.py
@@ -67,7 +67,8 @@
                 break
             frames.append(self._parse_frame(start, end))
             start = end
-        self._buffer = self._buffer[start:]
+        if start:
+            self._buffer = self._buffer[start:]
         return frames
 
     @property
@@ -75,6 +76,10 @@
         """Bytes of the frame that isn't complete yet."""
         return len(self._buffer)
 
+    def clear(self) -> None:
+        """Drop the frame that isn't complete."""
+        self._buffer.clear()
+
     def end(self) -> None:
         """Raise :class:`FrameError` when the stream ends within a frame."""
         if self._buffer:
--- a/bergamotmount/wire/tcp.py
+++ b/bergamotmount/wire/tcp.py
@@ -190,6 +190,8 @@
         """Close the connection and discard unsent bytes."""
         self._end_reason = self._end_reason or 'closed by this node'
         self._message_or_end.set()
+        # The garbage collector may come much later.
+        self._splitter.clear()
         if not self._transport.is_closing():
             self._transport.abort()
 
@@ -222,9 +224,11 @@
         )
 
     def _shed(self) -> None:
-        """Close a connection that holds too much."""
+        """Close a connection that holds too much, and drop all of it."""
         self._counters.dropped(DropReason.NO_MEMORY)
         self.close()
+        self._messages.clear()
+        self._queued_bytes = 0
 
     def _update_holding(self) -> None:
         held_bytes = (
