Count answers whole until their last byte is sent, and read large ones in turn

Callers saw: clients that ask for large answers and don't read them took a node over its memory.

Cause: three gaps in the account. A transport keeps the whole answer while one byte of it is unsent, but only the unsent bytes were counted. A complete response was in no holding until its request's task had run. In one iteration of the event loop each connection to the server may read 8 MB, while memory that was given up is free only at its end.

Change: WrittenSizes counts writes whole; a connection to the server holds a response until it is taken; after a large read the next one waits for an iteration. Large blocks are mapped alone (allocator), so that freed ones leave no holes in the heap.

--- a/bergamotmount/forwarding/connectionmemory.py
+++ b/bergamotmount/forwarding/connectionmemory.py
@@ -5,6 +5,7 @@
 read. A caller that reads nothing for too long is found here too.
 """
 
+import collections
 from collections.abc import Callable
 
 from bergamotmount.memoryaccount import (
@@ -15,6 +16,36 @@
 )
 
 
+class WrittenSizes:
+    """Sizes of the writes that a transport may still hold.
+
+    It keeps a write whole until its last byte has been sent::
+
+        sizes = WrittenSizes()
+        sizes.add(8_000_000)
+        sizes.held(unsent_bytes=100)  # 8000000
+        sizes.held(unsent_bytes=0)    # 0
+    """
+
+    __slots__ = ('_sizes', '_sum')
+
+    def __init__(self) -> None:
+        """Start without writes."""
+        self._sizes: collections.deque[int] = collections.deque()
+        self._sum = 0
+
+    def add(self, size: int) -> None:
+        """Record a write."""
+        self._sizes.append(size)
+        self._sum += size
+
+    def held(self, unsent_bytes: int) -> int:
+        """Return the memory of the writes that hold the unsent bytes."""
+        while self._sizes and self._sum - self._sizes[0] >= unsent_bytes:
+            self._sum -= self._sizes.popleft()
+        return self._sum
+
+
 class ConnectionMemory:
     """Counts the bytes of one connection in the account of the process.
 
@@ -33,6 +64,7 @@
         '_reply_bytes',
         '_unread_since_ms',
         '_unsent_bytes',
+        '_written',
     )
 
     def __init__(
@@ -47,6 +79,7 @@
         self._holding = account.open(kind, shed)
         self._reply_bytes = 0
         self._unsent_bytes = 0
+        self._written = WrittenSizes()
         self._unread_since_ms = account.now_ms()
 
     def admits(self, size_bytes: int) -> bool:
@@ -62,9 +95,10 @@
         self.waiting_bytes -= request_bytes
         self._reply_bytes += reply_bytes
 
-    def remove_reply(self, size_bytes: int) -> None:
-        """Hold a reply no more, as it has been written."""
+    def write_reply(self, size_bytes: int) -> None:
+        """Hold a reply as one that has been written."""
         self._reply_bytes -= size_bytes
+        self._written.add(size_bytes)
 
     def clear(self) -> None:
         """Hold neither requests nor replies any more."""
@@ -80,7 +114,7 @@
 
         A request that is being received goes before replies.
         """
-        unread_bytes = unsent_bytes + self._reply_bytes
+        unread_bytes = self._written.held(unsent_bytes) + self._reply_bytes
         self._holding.update(
             CONNECTION_BYTES
             + received_bytes
--- a/bergamotmount/forwarding/httpconnection.py
+++ b/bergamotmount/forwarding/httpconnection.py
@@ -346,7 +346,7 @@
             if pipelined.reply is None or self._transport.is_closing():
                 break
             self.pipeline.popleft()
-            self._memory.remove_reply(pipelined.held_bytes)
+            self._memory.write_reply(pipelined.held_bytes)
             if self._write(pipelined, pipelined.reply):
                 self._update_memory()
                 return
--- a/bergamotmount/forwarding/serverconnection.py
+++ b/bergamotmount/forwarding/serverconnection.py
@@ -27,6 +27,10 @@
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 MAX_OVERHEAD_BYTES = 256 * 1024
 
+#: Size of a read after which the next one waits for an iteration of the event
+#: loop, so that memory that was given up meanwhile is free by then.
+LARGE_READ_BYTES = 128 * 1024
+
 #: Maximum size of the incomplete responses of one server together, so that a
 #: server whose responses never end can't use up the memory of the process.
 MAX_BUFFERED_BYTES = 48 * 1024 * 1024
@@ -140,6 +144,7 @@
         account = self._buffer.account or MemoryAccount(clock)
         self._holding = account.open(HoldingKind.SERVER, self._shed)
         self._body_bytes = 0
+        self._complete_bytes = 0
         self._overhead_bytes = 0
         self.is_usable = True
         self.idle_until_ms: float = 0
@@ -195,6 +200,9 @@
             self.close()
         self._holding.move()
         self._update_holding()
+        if len(received) >= LARGE_READ_BYTES:
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._resume_reading)
 
     def on_message_begin(self) -> None:
         """Start a response; an unexpected one prevents further reuse."""
@@ -271,7 +279,7 @@
             self.close()
             raise
         finally:
-            self._exchange = None
+            self._end_exchange()
 
     def record_refusal(self, request_id: str) -> None:
         """Record that the server refused a request without running it.
@@ -317,6 +325,7 @@
             self.is_usable = False
             return
         headers = self._lines.decode()
+        headers_bytes = self._lines.decoded_bytes
         self._lines = HeaderLines()
         response = HttpResponse(
             status,
@@ -332,6 +341,7 @@
         if not response.is_persistent:
             self.is_usable = False
         self._start_idle(response.keep_alive_ms)
+        self._complete_bytes = len(body) + headers_bytes
         exchange.response.set_result(response)
         self._exchange = None
 
@@ -340,16 +350,27 @@
             self.is_usable = False
             self._fail('response within the head of another one')
 
+    def _resume_reading(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _end_exchange(self) -> None:
+        self._exchange = None
+        self._complete_bytes = 0
+        self._update_holding()
+
     def _shed(self) -> None:
         """Give up the response that is being received."""
         self._fail('no memory for the response')
         self.close()
 
     def _update_holding(self) -> None:
+        """Report what is held; a complete response until it is taken."""
         received_bytes = self._body_bytes + self._lines.wire_bytes
-        if self._exchange is None:
-            received_bytes = 0
-        self._holding.update(CONNECTION_BYTES + received_bytes, received_bytes)
+        self._holding.update(
+            CONNECTION_BYTES + received_bytes + self._complete_bytes,
+            received_bytes,
+        )
 
     def _start_idle(self, keep_alive_ms: float) -> None:
         idle_ms: float = IDLE_TIMEOUT_MS
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from bergamotmount.adapters.plaincounters import PlainCounters
+from bergamotmount.allocator import map_large_blocks
 from bergamotmount.clock import Clock
 from bergamotmount.fieldchecks import is_address
 from bergamotmount.forwarding.httpclient import ConnectionPool
@@ -86,6 +87,7 @@
         sys.stderr.write(f'{error}\n')
         sys.exit(EXIT_SETTINGS)
     log = start_logging('info', 'json', sys.stdout)
+    map_large_blocks()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     try:
--- a/bergamotmount/tests/test_crowdsofothers.py
+++ b/bergamotmount/tests/test_crowdsofothers.py
@@ -51,6 +51,19 @@
         self.transport.write(RESPONSE_HEAD)
 
 
+class _LargeSide(_FillingSide):
+    """Answers the requests of a crowd with large bodies."""
+
+    def _fill(self) -> None:
+        head = (
+            'HTTP/1.1 200 OK\r\nX-Attempt-Id: crowd\r\n'
+            'X-Response-Stamp: i-node-0.crowd\r\n'
+            f'Content-Length: {LARGE_BYTES}\r\n\r\n'
+        )
+        self.transport.write(head.encode())
+        self.transport.write(b'x' * LARGE_BYTES)
+
+
 class _FillingServer(StandinServer):
     """A server with many slots."""
 
@@ -64,6 +77,10 @@
         return self.side_type(self)
 
 
+class _LargeServer(_FillingServer):
+    side_type = _LargeSide
+
+
 CROWD_REQUEST = plain_request('crowd')
 
 
@@ -77,6 +94,16 @@
         await self.play(Crowd(CALLERS, [CROWD_REQUEST]))
 
 
+class UnreadResponsesTest(CrowdTestCase):
+    """Callers ask for large answers, and don't read them."""
+
+    server_type = _LargeServer
+
+    async def test_unread_responses(self):
+        """What the node can't write, it holds."""
+        await self.play(Crowd(CALLERS, [CROWD_REQUEST], reads=False))
+
+
 class OperatorCrowdTest(CrowdTestCase):
     """The other addresses took bodies of 64 MB, and as many connections."""
 
