Bound what the product's own interface holds for callers and peers

Callers would see: a daemon of the product's own interface filled and ended by bodies of legal size, heads without end, or more connections than descriptors.

Cause: as in, on the other path: each body was bounded (1 MB), their sum wasn't; aiohttp bounds a head at 128 lines of 8 KB and has no timeout for it; connections were not counted.

Change: section [limits] of the settings; the same account for its connections, bodies and links. BoundedServer counts a head while it comes, and closes the oldest connection without a request where there are too many. A body that is given up gets 503 with reason no_memory, unsent. shedlog is the one log of both daemons; the account's gauges are exported.

By reading, not by a run, the code before held all 15 MB.

--- a/bergamotmount/adapters/callers.py
+++ b/bergamotmount/adapters/callers.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers: outside clients and the local backend server."""
 
+import contextlib
 import json
 import math
 import re
@@ -8,7 +9,10 @@
 from multidict import CIMultiDict
 
 from bergamotmount.adapters import headers
+from bergamotmount.adapters.boundedserver import BoundedServer
+from bergamotmount.clock import Clock
 from bergamotmount.egress import Egress
+from bergamotmount.memoryaccount import Holding, HoldingKind, MemoryAccount
 from bergamotmount.outcomes import Answered, NotRun, Outcome, Unknown
 from bergamotmount.rank import LEVELS
 from bergamotmount.reasons import RefusalReason
@@ -57,6 +61,11 @@
         self.detail = detail
 
 
+def _no_memory() -> CallerError:
+    """Return the refusal of a request that has not been passed on."""
+    return CallerError(RefusalReason.NO_MEMORY, 'too much is held for callers')
+
+
 class CallerServer:
     """Accepts requests of callers and responds with their outcomes."""
 
@@ -65,8 +74,15 @@
         egress: Egress,
         issuer: TicketIssuer,
         max_body_bytes: int = MAX_BODY_BYTES,
+        account: MemoryAccount | None = None,
+        max_connections: float = math.inf,
     ) -> None:
-        """Send requests through ``egress``; ``issuer`` creates tickets."""
+        """Send requests through ``egress``; ``issuer`` creates tickets.
+
+        What connections and bodies hold counts in ``account``.
+        """
+        self._account = account or MemoryAccount(Clock())
+        self._max_connections = max_connections
         self._egress = egress
         self._issuer = issuer
         self._max_body_bytes = max_body_bytes
@@ -81,8 +97,10 @@
 
         A request is cancelled when its caller disconnects.
         """
-        return web.Server(
+        return BoundedServer(
             self.respond,
+            self._account,
+            self._max_connections,
             handler_cancellation=True,
             access_log=None,
             tcp_keepalive=True,
@@ -112,9 +130,10 @@
         segments = http_request.path.split('/')
         match segments:
             case ['', 'call', service, operation]:
-                body = await self._read_body(http_request)
-                request = to_request(http_request, service, operation, body)
-                response = to_response(await self._egress.call(request))
+                with contextlib.closing(self._hold(http_request)) as holding:
+                    body = await self._read_body(http_request, holding)
+                    request = to_request(http_request, service, operation, body)
+                    response = to_response(await self._egress.call(request))
                 return _echo_request_id(http_request, response)
             case ['', 'tickets', service] if http_request.method == 'POST':
                 return self._issue_tickets(http_request, service)
@@ -139,7 +158,16 @@
             return to_response(NotRun(RefusalReason.NO_SERVER))
         return web.json_response({'tickets': tickets}, status=201)
 
-    async def _read_body(self, http_request: web.BaseRequest) -> bytes:
+    def _hold(self, http_request: web.BaseRequest) -> Holding:
+        """Return the holding of a request; it is refused when it is shed."""
+        stream = http_request.content
+        return self._account.open(
+            HoldingKind.CALLER, lambda: stream.set_exception(_no_memory())
+        )
+
+    async def _read_body(
+        self, http_request: web.BaseRequest, holding: Holding
+    ) -> bytes:
         length = http_request.content_length or 0
         if length > self._max_body_bytes:
             raise CallerError(
@@ -148,11 +176,6 @@
             )
         if not http_request.body_exists:
             return b''
-        if http_request.content_length is not None:
-            return await http_request.content.read(-1)
-        return await self._read_chunked(http_request)
-
-    async def _read_chunked(self, http_request: web.BaseRequest) -> bytes:
         body = bytearray()
         async for chunk in http_request.content.iter_any():
             body.extend(chunk)
@@ -161,6 +184,12 @@
                     RefusalReason.BODY_TOO_LARGE,
                     f'body over {self._max_body_bytes} bytes',
                 )
+            holding.move()
+            holding.update(len(body), len(body))
+        if not self._account.admits(len(body)):
+            raise _no_memory()
+        # The complete body is copied once, and then waits for its answer.
+        holding.update(2 * len(body))
         return bytes(body)
 
 
--- a/bergamotmount/adapters/metrics.py
+++ b/bergamotmount/adapters/metrics.py
@@ -143,6 +143,16 @@
                 'Connections to peers.',
                 self._node.links.open_links,
             ),
+            (
+                'memory_held_bytes',
+                'Memory held for callers and peers.',
+                self._node.ports.account.held_bytes,
+            ),
+            (
+                'memory_limit_bytes',
+                'Memory above which holdings are given up.',
+                self._node.ports.account.limit_bytes,
+            ),
         ):
             yield _gauge(name, help_text, number)
         yield self._peers_gauge()
--- a/bergamotmount/daemon.py
+++ b/bergamotmount/daemon.py
@@ -24,8 +24,11 @@
 from bergamotmount.incarnation import new_incarnation
 from bergamotmount.log import part_logger, start_logging
 from bergamotmount.member import Member
+from bergamotmount.memoryaccount import MemoryAccount
 from bergamotmount.node import Node, NodeIdentity, NodeOptions, NodePorts
+from bergamotmount.processlimits import ProcessLimits
 from bergamotmount.settings import Settings, read_settings
+from bergamotmount.shedlog import ShedLog
 from bergamotmount.settingserror import SettingsError
 from bergamotmount.wire.tcp import PeerListener, TcpDialer
 
@@ -76,6 +79,9 @@
         self._registry = CollectorRegistry()
         counters = PrometheusCounters(self._registry)
         clock = Clock()
+        limits = ProcessLimits(**settings.limits.model_dump()).within_system()
+        account = MemoryAccount(clock, limits.account_bytes)
+        ShedLog(clock, account, counters)
         self._log = HttpLog(settings.join.log_url)
         self._server = HttpBackendServer(
             clock,
@@ -85,19 +91,24 @@
         )
         ports = NodePorts(
             clock,
-            TcpDialer(counters),
+            TcpDialer(counters, account=account),
             self._log,
             self._server,
             counters,
             random.Random(),
+            account,
         )
         self.node = Node(_identity(settings), _options(settings), ports)
         self._registry.register(NodeCollector(self.node))
-        self._peers = PeerListener(self.node.peer_server.serve, counters)
+        self._peers = PeerListener(
+            self.node.peer_server.serve, counters, account, limits.max_peers
+        )
         self._callers = CallerServer(
             self.node.egress,
             self.node.issuer,
             settings.callers.max_body_bytes,
+            account,
+            limits.max_callers,
         )
 
     async def run(self) -> None:
--- a/bergamotmount/forwarding/node.py
+++ b/bergamotmount/forwarding/node.py
@@ -26,7 +26,6 @@
 from bergamotmount.forwarding.httpserver import HttpServer, ServerBounds
 from bergamotmount.forwarding.latencyrouter import LatencyRouter
 from bergamotmount.forwarding.localserver import LocalServer
-from bergamotmount.forwarding.memoryreports import MemoryReports
 from bergamotmount.forwarding.options import ForwardingOptions, ForwardingPorts
 from bergamotmount.forwarding.policyaccess import PolicyAccess
 from bergamotmount.forwarding.quarantine import Quarantine
@@ -56,6 +55,7 @@
 from bergamotmount.ports import Lost, Reply as PeerReply
 from bergamotmount.reasons import DropReason
 from bergamotmount.serving import PeerServer
+from bergamotmount.shedlog import ShedLog
 from bergamotmount.supervision import keep_running
 from bergamotmount.threshold import ThresholdController
 from bergamotmount.thresholdview import ThresholdView
@@ -92,9 +92,7 @@
         self.ports = ports
         self.options = options
         clock, rng = ports.clock, ports.rng
-        self._memory_reports = MemoryReports(
-            clock, ports.account, ports.counters
-        )
+        self._shed_log = ShedLog(clock, ports.account, ports.counters)
         self.members = Members(clock, local_member)
         self.threshold_view = ThresholdView(clock)
         self.downstream_services = DownstreamServices(clock)
@@ -382,6 +380,10 @@
         counters.watch('policy_version', lambda: self.policy_source.version)
         watch = self._policy_access.watch
         counters.watch('policy_check_age_ms', lambda: watch.age_ms)
+        account = self.ports.account
+        counters.watch('memory_held_bytes', lambda: account.held_bytes)
+        counters.watch('memory_peak_bytes', lambda: account.peak_bytes)
+        counters.watch('memory_limit_bytes', lambda: account.limit_bytes)
         counters.watch(
             'caller_connections', lambda: len(self.caller_server.connections)
         )
@@ -475,7 +477,7 @@
             self.entry.totals.flush()
             self.gateway.decisions.flush()
             self.quarantine.decisions.flush()
-            self._memory_reports.decisions.flush()
+            self._shed_log.decisions.flush()
 
     def _has_pending_requests(self) -> bool:
         return bool(
--- a/bergamotmount/node.py
+++ b/bergamotmount/node.py
@@ -24,6 +24,7 @@
 )
 from bergamotmount.member import Member, MemberState
 from bergamotmount.membership import Members
+from bergamotmount.memoryaccount import MemoryAccount
 from bergamotmount.messages import (
     Answer,
     Call,
@@ -95,6 +96,9 @@
     server: BackendServer
     counters: Counters
     rng: random.Random
+    account: MemoryAccount = dataclasses.field(
+        default_factory=lambda: MemoryAccount(Clock())
+    )
 
 
 class Node:
@@ -290,6 +294,7 @@
             self.handle_call,
             self.receive,
             self.ports.counters,
+            self.ports.account,
         )
 
     def _policy(self):
--- a/bergamotmount/settings.py
+++ b/bergamotmount/settings.py
@@ -41,6 +41,7 @@
         'retry_ms': '500',
         'checkpoint_ms': '600000',
     },
+    'limits': {'memory_mb': '300', 'max_fds': '4100'},
     'log': {'level': 'info', 'format': 'text'},
 }
 
@@ -154,6 +155,13 @@
     checkpoint_ms: _PositiveMs
 
 
+class LimitsSection(_Section):
+    """Memory and descriptors that the process may use."""
+
+    memory_mb: Annotated[int, pydantic.Field(ge=64, le=1_000_000)]
+    max_fds: Annotated[int, pydantic.Field(ge=64, le=10_000_000)]
+
+
 class LogSection(_Section):
     """Level and format of the daemon's log."""
 
@@ -170,6 +178,7 @@
     tickets: TicketsSection
     heartbeat: HeartbeatSection
     policy: PolicySection
+    limits: LimitsSection
     log: LogSection
 
 
@@ -185,6 +194,7 @@
     tickets: TicketsSection
     heartbeat: HeartbeatSection
     policy: PolicySection
+    limits: LimitsSection
     log: LogSection
 
 
--- a/bergamotmount/forwarding/memoryreports.py
+++ b/bergamotmount/shedlog.py
@@ -1,4 +1,4 @@
-"""What operators see of the memory account: metrics and lines of the log."""
+"""Log of the holdings that a memory account sheds, bounded in volume."""
 
 from bergamotmount.clock import Clock
 from bergamotmount.counters import Counters
@@ -7,8 +7,8 @@
 from bergamotmount.reasons import DropReason
 
 
-class MemoryReports:
-    """Exports the values of an account, and logs each holding it sheds."""
+class ShedLog:
+    """Counts and logs each holding that an account sheds."""
 
     def __init__(
         self, clock: Clock, account: MemoryAccount, counters: Counters
@@ -18,9 +18,6 @@
         self._account = account
         self._counters = counters
         account.on_shed = self._on_shed
-        counters.watch('memory_held_bytes', lambda: account.held_bytes)
-        counters.watch('memory_peak_bytes', lambda: account.peak_bytes)
-        counters.watch('memory_limit_bytes', lambda: account.limit_bytes)
 
     def _on_shed(self, holding: Holding) -> None:
         account = self._account
--- a/bergamotmount/tests/test_callers.py
+++ b/bergamotmount/tests/test_callers.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP interfaces for callers and operators."""
 
+import asyncio
 import unittest
 
 import aiohttp
@@ -8,7 +9,9 @@
 from bergamotmount.adapters import headers
 from bergamotmount.adapters.admin import AdminServer
 from bergamotmount.adapters.callers import CallerServer
+from bergamotmount.clock import Clock
 from bergamotmount.member import MemberState
+from bergamotmount.memoryaccount import ORDINARY_SHARE, MemoryAccount
 from bergamotmount.tests.fakes import Simulation, operation, record, state_of
 
 SERVICE = {
@@ -19,8 +22,8 @@
 }
 
 
-class CallersTest(unittest.IsolatedAsyncioTestCase):
-    """Invalid requests are refused with a status and reason, and never run."""
+class CallersTestCase(unittest.IsolatedAsyncioTestCase):
+    """A node, and the HTTP server for its callers."""
 
     async def asyncSetUp(self):
         self.simulation = Simulation()
@@ -32,7 +35,7 @@
             record('service/c', {'operations': {'gone': operation()}}),
         )
         self.node.distribution._notify_changes([], self.apply_state(state))
-        callers = CallerServer(self.node.egress, self.node.issuer, 1000)
+        callers = self.make_callers()
         self.runner = web.ServerRunner(callers.make_server())
         await self.runner.setup()
         site = web.TCPSite(self.runner, '127.0.0.1', 0)
@@ -41,6 +44,9 @@
         self.url = f'http://127.0.0.1:{port}'
         self.session = aiohttp.ClientSession()
 
+    def make_callers(self) -> CallerServer:
+        return CallerServer(self.node.egress, self.node.issuer, 1000)
+
     async def asyncTearDown(self):
         await self.session.close()
         await self.runner.cleanup()
@@ -64,6 +70,10 @@
                 await response.read(),
             )
 
+
+class CallersTest(CallersTestCase):
+    """Invalid requests are refused with a status and reason, and never run."""
+
     async def assert_refused(
         self,
         status: int,
@@ -199,3 +209,92 @@
         application = AdminServer(host.node, None).make_application()
         self.assertGreaterEqual(len(application.router.routes()), 9)
         simulation.close()
+
+
+class CrowdOfCallersTest(CallersTestCase):
+    """Callers that stop just short of an end can't fill the process."""
+
+    MAX_BODY_BYTES = 1024 * 1024
+    SENT_BYTES = 512 * 1024
+    LIMIT_BYTES = 4 * 1024 * 1024
+    CALLERS = 30
+    MAX_CONNECTIONS = 20
+
+    HEAD = b'POST /call/a/read HTTP/1.1\r\nHost: a\r\n'
+
+    def make_callers(self) -> CallerServer:
+        self.account = MemoryAccount(Clock(), self.LIMIT_BYTES)
+        return CallerServer(
+            self.node.egress,
+            self.node.issuer,
+            self.MAX_BODY_BYTES,
+            self.account,
+            self.MAX_CONNECTIONS,
+        )
+
+    async def asyncSetUp(self):
+        self.writers: list[asyncio.StreamWriter] = []
+        await super().asyncSetUp()
+
+    async def asyncTearDown(self):
+        self.leave()
+        await super().asyncTearDown()
+
+    def leave(self) -> None:
+        """Close all connections of the crowd."""
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def send_crowd(self, packed: bytes) -> None:
+        """Send the same bytes on many connections, which stay open."""
+        host, port = self.runner.addresses[0][:2]
+        for _ in range(self.CALLERS):
+            _, writer = await asyncio.open_connection(host, port)
+            self.writers.append(writer)
+            writer.write(packed)
+            await asyncio.sleep(0.01)
+
+    async def assert_bounded(self) -> None:
+        """Check what is held, and that an ordinary request is answered."""
+        await asyncio.sleep(0.1)
+        max_bytes = self.LIMIT_BYTES * (1 + ORDINARY_SHARE)
+        self.assertLessEqual(self.account.held_bytes, max_bytes)
+        connections = len(self.runner.server.connections)
+        self.assertLessEqual(connections, self.MAX_CONNECTIONS)
+        answered = await self.post('/call/a/read')
+        self.assertEqual(answered[0], 200)
+
+    async def test_bodies_without_end(self):
+        """Each body was bounded, their sum wasn't."""
+        head = self.HEAD + b'Content-Length: 1000000\r\n\r\n'
+        await self.send_crowd(head + b'x' * self.SENT_BYTES)
+        await self.assert_bounded()
+        self.assertTrue(self.account.sheds)
+
+    async def test_chunks_without_end(self):
+        """The same, in chunks."""
+        head = self.HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+        chunk = b'80000\r\n%b\r\n' % (b'x' * self.SENT_BYTES)
+        await self.send_crowd(head + chunk)
+        await self.assert_bounded()
+        self.assertTrue(self.account.sheds)
+
+    async def test_heads_without_end(self):
+        """Lines of 8 kB, a hundred of them."""
+        lines = b'a: %b\r\n' % (b'x' * 8000)
+        await self.send_crowd(self.HEAD + lines * 100)
+        await self.assert_bounded()
+        self.assertTrue(self.account.sheds)
+
+    async def test_idle_connections(self):
+        """They send nothing at all."""
+        await self.send_crowd(b'')
+        await self.assert_bounded()
+
+    async def test_all_is_given_back(self):
+        """Nothing is held for callers that have left."""
+        head = self.HEAD + b'Content-Length: 1000\r\n\r\n'
+        await self.send_crowd(head + b'x' * 999)
+        self.leave()
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.account.held_bytes, 0)
