--- a/bergamotmount/tests/crowdfixture.py
+++ b/bergamotmount/tests/crowdfixture.py
@@ -34,6 +34,8 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 HEADER_TIMEOUT_S = 10
 
+SERVICE_BY_ROUTE = {'order': 'desk', 'view': 'desk', 'far': 'board'}
+
 #: Interval at which the descriptors of the process are counted.
 COUNT_INTERVAL_S = 0.05
 
@@ -67,7 +69,7 @@
         self.store_address = f'{HOST}:{self.ports.take()}'
         await self.store.start(self.store_address)
         self.addCleanup(self.store.close)
-        policy = make_policy(1, {'order': 'desk', 'view': 'desk'}, self.rng)
+        policy = make_policy(1, SERVICE_BY_ROUTE, self.rng)
         policy['limits']['max_body_bytes'] = self.max_body_bytes
         policy['limits']['header_timeout_s'] = HEADER_TIMEOUT_S
         self.store.publish(policy)
--- a/bergamotmount/tests/crowds.py
+++ b/bergamotmount/tests/crowds.py
@@ -110,10 +110,13 @@
     return _with_lines(b'ab:\r\n' * ODD_LINES, is_whole)
 
 
-def sized_body(size: int, is_whole: bool, step: int) -> list[bytes]:
+def sized_body(
+    size: int, is_whole: bool, step: int, path: bytes = b'/order/1'
+) -> list[bytes]:
     """Return a request whose body has a length; else its last byte lacks."""
     sent = size if is_whole else size - 1
-    head = b'%bContent-Length: %d\r\n\r\n' % (_REQUEST_LINES, size)
+    lines = _REQUEST_LINES.replace(b'/order/1', path)
+    head = b'%bContent-Length: %d\r\n\r\n' % (lines, size)
     return [head, *_cut(b'x' * sent, step)]
 
 
--- a/bergamotmount/tests/test_crowdsofothers.py
+++ b/bergamotmount/tests/test_crowdsofothers.py
@@ -4,6 +4,7 @@
 the addresses for other nodes, operators and the platform.
 """
 
+import asyncio
 import resource
 
 from bergamotmount.tests.crowdfixture import CrowdTestCase
@@ -15,6 +16,7 @@
     short_lines,
     sized_body,
 )
+from bergamotmount.tools.soak.soakrun import node_breaches
 from bergamotmount.tools.soak.standinserver import StandinServer, _ServerSide
 
 CALLERS = 60
@@ -30,6 +32,13 @@
 FRAME_BYTES = 3840 * 1024
 PEERS = 90
 
+#: Bodies that a message between nodes holds, and how many are sent at once.
+BODY_BYTES = 3 * 1024 * 1024
+LINK_CALLERS = 100
+
+#: Time in which two nodes find each other.
+FIND_S = 3
+
 HEAD_CALLERS = 700
 SLOTS = 200
 
@@ -137,6 +146,30 @@
         )
 
 
+class LinkCrowdTest(CrowdTestCase):
+    """Bodies cross the link to a node whose server is slow."""
+
+    slowdown = 40
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.far = self.make_node('node-1', 'board')
+        await self.start_with_server(self.far)
+        # The nodes find each other.
+        await asyncio.sleep(FIND_S)
+
+    async def asyncTearDown(self):
+        await self.end_node(self.far)
+        await super().asyncTearDown()
+
+    async def test_whole_bodies(self):
+        """Both nodes hold them until the server has answered."""
+        pieces = sized_body(BODY_BYTES, True, WRITE_BYTES, b'/far/1')
+        await self.play(Crowd(LINK_CALLERS, pieces))
+        self.assert_within_limits(self.far)
+        self.assertEqual(node_breaches(self.far), [])
+
+
 class FewDescriptorsTest(CrowdTestCase):
     """The system has no descriptor left when a connection is accepted."""
 
