--- a/bergamotmount/daemon.py
+++ b/bergamotmount/daemon.py
@@ -30,7 +30,8 @@
 from bergamotmount.settings import Settings, read_settings
 from bergamotmount.shedlog import ShedLog
 from bergamotmount.settingserror import SettingsError
-from bergamotmount.wire.tcp import PeerListener, TcpDialer
+from bergamotmount.wire.peerlistener import PeerListener
+from bergamotmount.wire.tcp import TcpDialer
 
 #: Exit code for invalid settings.
 EXIT_SETTINGS = 2
--- a/bergamotmount/forwarding/httpclient.py
+++ b/bergamotmount/forwarding/httpclient.py
@@ -4,10 +4,8 @@
 from collections.abc import Callable
 
 from bergamotmount.clock import Clock
-from bergamotmount.forwarding.serverconnection import (
-    ResponseBuffer,
-    ServerConnection,
-)
+from bergamotmount.forwarding.responsebuffer import ResponseBuffer
+from bergamotmount.forwarding.serverconnection import ServerConnection
 from bergamotmount.memoryaccount import MemoryAccount
 
 #: Timeout of opening a connection.
--- a/bergamotmount/forwarding/httpconnection.py
+++ b/bergamotmount/forwarding/httpconnection.py
@@ -5,14 +5,14 @@
 connection, its requests that are still being handled are cancelled.
 """
 
-import abc
 import asyncio
 import collections
 import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from bergamotmount.clock import MS_PER_SECOND, Clock
+from bergamotmount.clock import Clock
+from bergamotmount.forwarding.bufferedreader import BufferedReader
 from bergamotmount.forwarding.connectionmemory import (
     ConnectionMemory,
     size_of_reply,
@@ -28,13 +28,10 @@
     ReadPhase,
     RequestReader,
 )
+from bergamotmount.forwarding.retrytimes import no_memory_headers
 from bergamotmount.log import part_logger
 from bergamotmount.memoryaccount import HoldingKind, MemoryAccount
 
-#: Maximum number of bytes that are read in one go. A connection that is paused
-#: has read no more than these beyond what it wanted.
-READ_BYTES = 16 * 1024
-
 #: Memory of requests without a reply, if they are more than one, at which a
 #: connection stops reading.
 MAX_WAITING_BYTES = 256 * 1024
@@ -50,20 +47,11 @@
 
 _log = part_logger('http')
 
-#: Time after which a request may be repeated that was refused for lack of
-#: memory, and by how much each of some in succession waits longer.
-NO_MEMORY_RETRY_MS = 1000
-NO_MEMORY_RETRY_STEP_MS = 100
-NO_MEMORY_RETRY_STEPS = 16
-
 _INTERNAL_ERROR = 500
 _REQUEST_TIMEOUT = 408
 _UNAVAILABLE = 503
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
-#: Buffer that all connections read into, one after the other.
-_read_buffer = memoryview(bytearray(READ_BYTES))
-
 
 @dataclasses.dataclass(slots=True)
 class HttpReply:
@@ -126,23 +114,7 @@
     task: asyncio.Task | None = None
 
 
-class _BufferedReader(asyncio.BufferedProtocol, abc.ABC):
-    """Reads at most ``READ_BYTES`` at a time."""
-
-    def get_buffer(self, _size_hint: int) -> memoryview:
-        """Return the buffer to read into."""
-        return _read_buffer
-
-    def buffer_updated(self, size: int) -> None:
-        """Parse the bytes that have been read."""
-        self.data_received(bytes(_read_buffer[:size]))
-
-    @abc.abstractmethod
-    def data_received(self, received: bytes) -> None:
-        """Handle received bytes."""
-
-
-class Connection(_BufferedReader):
+class Connection(BufferedReader):
     """One connection of a caller.
 
     ``pipeline`` holds the requests that have no reply yet, oldest first.
@@ -320,7 +292,8 @@
     def _refuse_for_memory(self, closes: bool = False) -> HttpReply:
         """Return the refusal of a request that has not been passed on."""
         self._server.on_no_memory()
-        return _no_memory_reply(self._server.account.refusals, closes)
+        headers = no_memory_headers(self._server.account.refusals)
+        return HttpReply(_UNAVAILABLE, headers, closes=closes)
 
     def _shed(self) -> None:
         """Give up a request that is being received, or unread replies."""
@@ -410,11 +383,3 @@
     return MalformedRequestError(
         _REQUEST_TIMEOUT, f'slow {part}: timeout exceeded'
     )
-
-
-def _no_memory_reply(refusals: int, closes: bool) -> HttpReply:
-    """Return a refusal; several in succession come back at different times."""
-    step = refusals % NO_MEMORY_RETRY_STEPS
-    wait_ms = NO_MEMORY_RETRY_MS + step * NO_MEMORY_RETRY_STEP_MS
-    seconds = f'{wait_ms / MS_PER_SECOND:.3f}'
-    return HttpReply(_UNAVAILABLE, ['Retry-After', seconds], closes=closes)
--- a/bergamotmount/forwarding/serverconnection.py
+++ b/bergamotmount/forwarding/serverconnection.py
@@ -8,7 +8,6 @@
 import dataclasses
 import io
 import re
-import socket
 from collections.abc import Callable
 
 import httptools
@@ -16,6 +15,8 @@
 from bergamotmount.clock import Clock
 from bergamotmount.forwarding.headerlines import HeaderLineError, HeaderLines
 from bergamotmount.forwarding.http import HttpResponse, header_of, write_parts
+from bergamotmount.forwarding.responsebuffer import ResponseBuffer
+from bergamotmount.forwarding.tcpkeepalive import enable_tcp_keep_alive
 from bergamotmount.memoryaccount import (
     CONNECTION_BYTES,
     HoldingKind,
@@ -31,10 +32,6 @@
 #: loop, so that memory that was given up meanwhile is free by then.
 LARGE_READ_BYTES = 128 * 1024
 
-#: Maximum size of the incomplete responses of one server together, so that a
-#: server whose responses never end can't use up the memory of the process.
-MAX_BUFFERED_BYTES = 48 * 1024 * 1024
-
 #: Idle time after which a connection is closed.
 IDLE_TIMEOUT_MS = 4000
 
@@ -59,11 +56,6 @@
 
 _MS_PER_SECOND = 1000
 
-#: TCP keep-alive probes, which detect a dead peer behind an open connection:
-#: idle time and interval in seconds, and number of probes.
-TCP_KEEP_ALIVE_S = 1
-TCP_KEEP_ALIVE_PROBES = 2
-
 
 class BrokenExchangeError(Exception):
     """The exchange failed before the response was complete.
@@ -97,37 +89,6 @@
     response_started: bool = False
 
 
-class ResponseBuffer:
-    """Counts the bytes of incomplete responses on all connections of a pool.
-
-    ::
-
-        buffer = ResponseBuffer()
-        if not buffer.reserve(len(part)):
-            ...  # give this response up
-        buffer.release(len(part))
-    """
-
-    def __init__(
-        self,
-        max_bytes: int = MAX_BUFFERED_BYTES,
-        account: MemoryAccount | None = None,
-    ) -> None:
-        """Start empty; the connections also hold memory of ``account``."""
-        self.account = account
-        self._max_bytes = max_bytes
-        self._used_bytes = 0
-
-    def reserve(self, size: int) -> bool:
-        """Count bytes; return whether the maximum still holds."""
-        self._used_bytes += size
-        return self._used_bytes <= self._max_bytes
-
-    def release(self, size: int) -> None:
-        """Return bytes that were reserved."""
-        self._used_bytes -= size
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection to a server.
 
@@ -390,17 +351,6 @@
         exchange.response.set_exception(error)
 
 
-def enable_tcp_keep_alive(opened: socket.socket | None) -> None:
-    """Enable TCP keep-alive, which detects a dead peer within seconds."""
-    if opened is None:
-        return
-    tcp = socket.IPPROTO_TCP
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    opened.setsockopt(tcp, socket.TCP_KEEPIDLE, TCP_KEEP_ALIVE_S)
-    opened.setsockopt(tcp, socket.TCP_KEEPINTVL, TCP_KEEP_ALIVE_S)
-    opened.setsockopt(tcp, socket.TCP_KEEPCNT, TCP_KEEP_ALIVE_PROBES)
-
-
 def _keep_alive_ms(headers: list[tuple[str, str]]) -> float:
     text = header_of(headers, 'Keep-Alive')
     if text is None:
--- a/bergamotmount/platform/daemon.py
+++ b/bergamotmount/platform/daemon.py
@@ -45,7 +45,8 @@
 from bergamotmount.processlimits import ProcessLimits
 from bergamotmount.settingserror import SettingsError
 from bergamotmount.supervision import keep_running
-from bergamotmount.wire.tcp import PeerListener, TcpDialer
+from bergamotmount.wire.peerlistener import PeerListener
+from bergamotmount.wire.tcp import TcpDialer
 
 #: Environment variable that holds the path of the settings file.
 CONFIG_VARIABLE = 'BERGAMOTMOUNT_CONFIG'
--- a/bergamotmount/tests/test_codec.py
+++ b/bergamotmount/tests/test_codec.py
@@ -26,7 +26,8 @@
     FrameSplitter,
     pack_frame,
 )
-from bergamotmount.wire.tcp import PeerListener, TcpChannel, TcpDialer
+from bergamotmount.wire.peerlistener import PeerListener
+from bergamotmount.wire.tcp import TcpChannel, TcpDialer
 
 MEMBER = Member(
     'a-1',
--- a/bergamotmount/tests/test_endlessresponse.py
+++ b/bergamotmount/tests/test_endlessresponse.py
@@ -15,11 +15,11 @@
     HttpReply,
 )
 from bergamotmount.forwarding.httpserver import HttpServer
+from bergamotmount.forwarding.responsebuffer import ResponseBuffer
 from bergamotmount.forwarding.serverconnection import (
     MAX_OVERHEAD_BYTES,
     MAX_RESPONSE_BYTES,
     BrokenExchangeError,
-    ResponseBuffer,
     ServerConnection,
 )
 from bergamotmount.tests.faketransport import FakeTransport
--- a/bergamotmount/tests/test_oddmessages.py
+++ b/bergamotmount/tests/test_oddmessages.py
@@ -35,7 +35,8 @@
 from bergamotmount.tests.virtualtime import VirtualTestCase
 from bergamotmount.wire.codec import FrameKind, decode, encode
 from bergamotmount.wire.frames import FrameError, pack_frame
-from bergamotmount.wire.tcp import PeerListener, TcpChannel, TcpDialer
+from bergamotmount.wire.peerlistener import PeerListener
+from bergamotmount.wire.tcp import TcpChannel, TcpDialer
 
 ANSWER = messages.Answer(2, Answered(201, ['a', 'b'], b'body'))
 HEARTBEAT = messages.Heartbeat(6, False, [MEMBER], 9, 17)
--- a/bergamotmount/tools/bare_forward.py
+++ b/bergamotmount/tools/bare_forward.py
@@ -16,7 +16,8 @@
 from bergamotmount.messages import Answer, Call
 from bergamotmount.outcomes import Answered
 from bergamotmount.tools.process import Closer, run_until_signal, start_site
-from bergamotmount.wire.tcp import PeerListener, TcpChannel, TcpDialer
+from bergamotmount.wire.peerlistener import PeerListener
+from bergamotmount.wire.tcp import TcpChannel, TcpDialer
 
 _DEADLINE_MS = 2000
 
