Count idle time from when a caller has read its replies; don't close softly

Callers would see: a connection closed as idle at once after a large answer had been read slowly, as its idle time ran from the request. And where there are too many connections, one that doesn't read could stay open behind a soft close.

The soft close has no test of its own.

--- a/bergamotmount/forwarding/httpconnection.py
+++ b/bergamotmount/forwarding/httpconnection.py
@@ -231,7 +231,7 @@
         limits = self._server.limits
         unsent_bytes = self._transport.get_write_buffer_size()
         if self._memory.unread_ms(unsent_bytes) > limits.idle_timeout_ms:
-            self._abort()
+            self.abort()
             return
         match self._reader.phase:
             case ReadPhase.HEAD if elapsed_ms > limits.header_timeout_ms:
@@ -241,6 +241,9 @@
             case ReadPhase.IDLE if self._is_lingering:
                 if elapsed_ms > LINGER_MS:
                     self.close()
+            case ReadPhase.IDLE if unsent_bytes:
+                # Idle time begins when the caller has read its replies.
+                self.restart_timer()
             case ReadPhase.IDLE if self.is_idle:
                 if elapsed_ms > limits.idle_timeout_ms:
                     self.close()
@@ -258,6 +261,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close immediately; unsent bytes are dropped."""
+        self._reader.stop()
+        self._cancel_pipeline()
+        self._transport.abort()
+
     async def _handle(
         self, pipelined: _PipelinedRequest, request: HttpRequest
     ) -> None:
@@ -300,13 +309,7 @@
         if self._reader.held_bytes:
             self._end_with(self._refuse_for_memory(closes=True))
         else:
-            self._abort()
-
-    def _abort(self) -> None:
-        """Close immediately; unsent bytes are dropped."""
-        self._reader.stop()
-        self._cancel_pipeline()
-        self._transport.abort()
+            self.abort()
 
     def _update_memory(self) -> None:
         self._memory.update(
--- a/bergamotmount/forwarding/httpserver.py
+++ b/bergamotmount/forwarding/httpserver.py
@@ -113,7 +113,8 @@
             key=lambda each: (not each.is_idle, each.timer_started_ms),
         )
         self.connections.discard(least_active)
-        least_active.close()
+        # A caller that doesn't read could keep it open, were it closed softly.
+        least_active.abort()
         return True
 
     def on_no_memory(self) -> None:
--- a/bergamotmount/tests/test_httpserver.py
+++ b/bergamotmount/tests/test_httpserver.py
@@ -370,6 +370,20 @@
         self.server.check_timeouts()
         self.assertTrue(self.transport.is_closed)
 
+    async def test_idle_time_begins_after_the_replies_are_read(self):
+        """A connection was closed as idle once its caller had read slowly."""
+        connection = self.connect(HttpLimits(idle_timeout_ms=1000))
+        connection.data_received(GET)
+        await self.settle()
+        for unsent_bytes in (3000, 2000, 1000, 0):
+            self.transport.unsent_bytes = unsent_bytes
+            await asyncio.sleep(0.6)
+            self.server.check_timeouts()
+            self.assertFalse(self.transport.is_closed)
+        await asyncio.sleep(0.6)
+        self.server.check_timeouts()
+        self.assertTrue(self.transport.is_closed)
+
     async def test_slow_reader_holds_replies_back(self):
         """Replies aren't written while the caller doesn't read."""
         connection = self.connect()
